--- /dev/null
+++ b/src/bin/baydrift-wirehost/host.rs
@@ -0,0 +1,302 @@
+//! The instances of one process and the translation between wire records and the library's types.
+
+use std::collections::BTreeMap;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+
+use baydrift::interface::{Action, Call, Entry, Event, ListKind, Note, Outcome, Report, ServerState};
+use baydrift::Controller;
+
+use crate::config::{self, Field};
+use crate::wire::{put_server, Fields, Header, WireError};
+
+/// One front's controller and the order of its report values.
+struct Instance {
+    controller: Controller,
+    fields: Vec<Field>,
+}
+
+/// All instances of the process, and the lists that records refer to.
+#[derive(Default)]
+pub struct Host {
+    instances: BTreeMap<u16, Instance>,
+    lists: BTreeMap<u32, Vec<Entry>>,
+    actions: Vec<Action>,
+}
+
+const PEER_ALL: u32 = u32::MAX;
+
+fn outcome(code: u16, fields: &Fields) -> Result<Outcome, WireError> {
+    Ok(match code {
+        0 => Outcome::Error,
+        1 => Outcome::Ok,
+        2 => Outcome::Full,
+        3 => Outcome::Timeout,
+        4 => Outcome::ConnectFailed,
+        5 => Outcome::Reset,
+        6 => Outcome::Cancelled,
+        7 => Outcome::Moot,
+        _ => return Err(fields.error(format!("unknown outcome {code}"))),
+    })
+}
+
+fn note(why: u32) -> Note {
+    match (why & 15, why >> 4) {
+        (1, _) => Note::NoLine,
+        (2, 1) => Note::ProcessorFull(0),
+        (3, wait_ms) => Note::ProcessorFull(u64::from(wait_ms) * 1000),
+        (4, _) => Note::NumberBusy,
+        _ => Note::None,
+    }
+}
+
+fn report(fields: &mut Fields, order: &[Field]) -> Result<Report, WireError> {
+    let n = fields.u8("report size")?;
+    let mut report = Report::default();
+    for i in 0..usize::from(n) {
+        let raw = f64::from(fields.f32("report value")?);
+        // Not told is -1 on the wire; other negative or non-finite values say nothing either.
+        let value = Some(raw).filter(|v| v.is_finite() && *v >= 0.0);
+        match order.get(i).copied().unwrap_or(Field::Unknown) {
+            Field::Free => report.free = value,
+            Field::Lines => report.lines = value,
+            Field::InWork => report.in_work = value,
+            Field::Queue => report.queue = value,
+            Field::Busy => report.busy = value,
+            Field::WaitMs => report.wait_s = value.map(|v| v / 1000.0),
+            Field::Rate => report.rate = value,
+            Field::HoldBack => report.hold_back = value,
+            Field::Unknown => {}
+        }
+    }
+    Ok(report)
+}
+
+fn server_number(raw: f32) -> Option<u16> {
+    (raw >= 0.0 && raw <= f32::from(u16::MAX)).then_some(raw as u16)
+}
+
+impl Host {
+    /// Takes one batch; appends the reply's records and returns their count.
+    pub fn batch(&mut self, header: &Header, body: &[u8], frame: u64, reply: &mut Vec<u8>) -> Result<u32, WireError> {
+        let now = config::micros(header.clock);
+        let mut fields = Fields::new(body, frame);
+        let mut written = 0;
+        for _ in 0..header.records {
+            written += self.record(now, &mut fields, reply)?;
+        }
+        if !fields.done() {
+            return Err(fields.error("bytes are left after the last record".into()));
+        }
+        Ok(written)
+    }
+
+    fn record(&mut self, now: u64, fields: &mut Fields, reply: &mut Vec<u8>) -> Result<u32, WireError> {
+        let code = fields.u16("record code")?;
+        if code == 1100 {
+            let number = fields.u32("set-id")?;
+            let count = fields.u32("list size")?;
+            let mut entries = Vec::new();
+            for _ in 0..count {
+                entries.push(entry(fields)?);
+            }
+            self.lists.insert(number, entries);
+            return Ok(0);
+        }
+        if !matches!(code, 1000 | 1010 | 1020 | 1030 | 1040 | 1050 | 1060 | 1070 | 1080 | 1090) {
+            return Err(fields.error(format!("unknown record code {code}")));
+        }
+        let front = fields.u16("front-id")?;
+        match code {
+            1000 => return self.spawn(front, fields).map(|()| 0),
+            1090 => {
+                self.instances.remove(&front);
+                return Ok(0);
+            }
+            _ => {}
+        }
+        let order = self.instances.get(&front).map_or(&[][..], |i| &i.fields);
+        let event = match code {
+            1010 => {
+                let mode = fields.u8("mode")?;
+                fields.u32("index")?;
+                let set = fields.u32("set-id")?;
+                let kind = match mode {
+                    1 => ListKind::Delta,
+                    2 => ListKind::Failed,
+                    3 | 4 => ListKind::Full,
+                    _ => return Err(fields.error(format!("unknown list mode {mode}"))),
+                };
+                let entries = match (kind, self.lists.get(&set)) {
+                    (ListKind::Failed, _) => Vec::new(),
+                    (_, Some(entries)) => entries.clone(),
+                    (_, None) => return Err(fields.error(format!("list {set} was never given"))),
+                };
+                Event::List(kind, entries)
+            }
+            1020 => inbound(fields)?,
+            1030 => Event::Stands {
+                call: fields.u32("rid")?,
+                attempt: fields.u16("go")?,
+                server: fields.server("server")?,
+                lag: config::micros(fields.f64("lag-s")?),
+            },
+            1040 => {
+                let call = fields.u32("rid")?;
+                let attempt = fields.u16("go")?;
+                let server = fields.server("server")?;
+                let code = fields.u16("rc")?;
+                Event::Ended {
+                    call,
+                    attempt,
+                    server,
+                    outcome: outcome(code, fields)?,
+                    lag: config::micros(fields.f64("lag-s")?),
+                    complete: fields.u8("complete")? != 0,
+                    note: note(fields.u32("why")?),
+                    report: report(fields, order)?,
+                }
+            }
+            1050 => Event::Abandoned(fields.u32("rid")?),
+            1060 => Event::Timer(fields.u64("ctx")?),
+            1070 => {
+                let server = fields.server("server")?;
+                let code = fields.u16("rc")?;
+                Event::Probed {
+                    server,
+                    outcome: outcome(code, fields)?,
+                    lag: config::micros(fields.f64("lag-s")?),
+                    report: report(fields, order)?,
+                }
+            }
+            _ => {
+                let from = fields.u32("by")?;
+                let size = usize::from(fields.u16("payload size")?);
+                Event::Peer { from, payload: fields.take(size, "payload")?.to_vec() }
+            }
+        };
+        let Some(instance) = self.instances.get_mut(&front) else {
+            return Ok(0);
+        };
+        self.actions.clear();
+        let actions = &mut self.actions;
+        let done = catch_unwind(AssertUnwindSafe(|| instance.controller.handle(now, event, actions)));
+        if done.is_err() {
+            self.instances.remove(&front);
+            put_text(reply, 1090, front, "the decision module panicked");
+            return Ok(1);
+        }
+        for action in &self.actions {
+            put_action(reply, front, action);
+        }
+        Ok(self.actions.len() as u32)
+    }
+
+    fn spawn(&mut self, front: u16, fields: &mut Fields) -> Result<(), WireError> {
+        let seed = fields.u64("rng-seed")?;
+        let size = fields.u32("config size")? as usize;
+        let text = fields.take(size, "config")?;
+        let (settings, order) = config::read(text).map_err(|e| fields.error(e))?;
+        let controller = Controller::new(settings, seed).map_err(|e| fields.error(e.to_string()))?;
+        self.instances.insert(front, Instance { controller, fields: order });
+        Ok(())
+    }
+}
+
+fn entry(fields: &mut Fields) -> Result<Entry, WireError> {
+    let server = fields.server("server")?;
+    fields.take(2, "zone and kind")?;
+    let number = fields.u16("node-no")?;
+    let state = match fields.u8("availability")? {
+        1 => ServerState::Draining,
+        2 => ServerState::Ready,
+        3 => ServerState::Gone,
+        other => return Err(fields.error(format!("unknown availability {other}"))),
+    };
+    fields.f32("size")?;
+    let started = fields.f64("started-at-s")?;
+    Ok(Entry { server, number, state, started_at: (started > 0.0).then(|| config::micros(started)) })
+}
+
+fn inbound(fields: &mut Fields) -> Result<Event, WireError> {
+    let id = fields.u32("rid")?;
+    let class = usize::from(fields.u16("type")?);
+    let tenant = usize::from(fields.u16("party")?);
+    let number = fields.u64("entity")?;
+    let gives_up_in = config::micros(fields.f64("grace-s")?);
+    fields.f64("weight-hint-s")?;
+    let first_choice = server_number(fields.f32("terminates-at")?);
+    fields.f32("units")?;
+    fields.f32("through")?;
+    let bits = fields.u8("state-bits")?;
+    Ok(Event::Call(Call {
+        id,
+        class,
+        tenant,
+        number,
+        gives_up_in,
+        first_choice,
+        in_transit: bits & 8 != 0,
+        was_cut: bits & 16 != 0,
+    }))
+}
+
+fn put_text(out: &mut Vec<u8>, code: u16, front: u16, text: &str) {
+    let bytes = &text.as_bytes()[..text.len().min(usize::from(u16::MAX))];
+    head(out, code, front);
+    out.extend_from_slice(&(bytes.len() as u16).to_le_bytes());
+    out.extend_from_slice(bytes);
+}
+
+fn head(out: &mut Vec<u8>, code: u16, front: u16) {
+    out.extend_from_slice(&code.to_le_bytes());
+    out.extend_from_slice(&front.to_le_bytes());
+}
+
+fn seconds(out: &mut Vec<u8>, micros: u64) {
+    out.extend_from_slice(&(micros as f64 / 1e6).to_le_bytes());
+}
+
+fn put_action(out: &mut Vec<u8>, front: u16, action: &Action) {
+    match action {
+        Action::Send { call, server, timeout } => {
+            head(out, 1040, front);
+            out.extend_from_slice(&call.to_le_bytes());
+            seconds(out, *timeout);
+            put_server(out, *server);
+        }
+        Action::Refuse { call, retry_after } => {
+            head(out, 1020, front);
+            out.extend_from_slice(&call.to_le_bytes());
+            seconds(out, *retry_after);
+        }
+        Action::Fail(call) => {
+            head(out, 1010, front);
+            out.extend_from_slice(&call.to_le_bytes());
+        }
+        Action::Cancel { call, attempt } => {
+            head(out, 1030, front);
+            out.extend_from_slice(&call.to_le_bytes());
+            out.extend_from_slice(&attempt.to_le_bytes());
+        }
+        Action::Probe(server) => {
+            head(out, 1080, front);
+            put_server(out, *server);
+        }
+        Action::TellPeers(payload) => {
+            head(out, 1070, front);
+            out.extend_from_slice(&PEER_ALL.to_le_bytes());
+            out.extend_from_slice(&(payload.len() as u16).to_le_bytes());
+            out.extend_from_slice(payload);
+        }
+        Action::Watch => {
+            head(out, 1100, front);
+            out.push(1);
+        }
+        Action::Timer { at, token } => {
+            head(out, 1050, front);
+            seconds(out, *at);
+            out.extend_from_slice(&token.to_le_bytes());
+        }
+        Action::Log(text) => put_text(out, 1110, front, text),
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,69 @@
+//! baydrift decides, for one front at a network's edge, which of a few central servers a call is
+//! set up at, and which calls are turned away when the servers run short.
+//!
+//! A front keeps one [`Controller`]. It hands over what it sees as [`interface::Event`]s with the
+//! time, and carries out the [`interface::Action`]s it gets back. The module does no input or output,
+//! reads no clock and starts no threads; equal events and seed give equal actions.
+//!
+//! ```
+//! use baydrift::interface::*;
+//! use baydrift::Controller;
+//!
+//! let settings = Settings {
+//!     fronts: 2,
+//!     own_number: None,
+//!     classes: vec![Class { worth: 1.0, late_worth: 0.2, aim: 2_000_000, repeat: Repeat::Safe, servers: None }],
+//!     tenants: vec![],
+//!     over_share_worth: 1.0,
+//!     max_attempts: 4,
+//!     may_cancel: true,
+//!     may_probe: false,
+//!     may_tell_peers: false,
+//!     max_retry_after: 0,
+//!     reports: ReportPath::Answers,
+//!     subscribe: false,
+//!     resend_after: 500_000,
+//!     release_guard: 300_000,
+//!     cold_from: 0.3,
+//!     ramp_time: 12_000_000,
+//!     fall_multiple: 2.0,
+//!     fall_time: 1_500_000,
+//! };
+//! let mut controller = Controller::new(settings, 7)?;
+//! let mut actions = Vec::new();
+//!
+//! // The list comes first; then calls.
+//! let line = |server, number| Entry { server, number, state: ServerState::Ready, started_at: None };
+//! controller.handle(0, Event::List(ListKind::Full, vec![line(11, 0), line(12, 1)]), &mut actions);
+//! let call = Call {
+//!     id: 1,
+//!     class: 0,
+//!     tenant: 0,
+//!     number: 555_0100,
+//!     gives_up_in: 3_000_000,
+//!     first_choice: Some(1),
+//!     in_transit: false,
+//!     was_cut: false,
+//! };
+//! actions.clear();
+//! controller.handle(10_000, Event::Call(call), &mut actions);
+//!
+//! // A front carries these out on its own signalling stack and timers.
+//! for action in &actions {
+//!     match action {
+//!         Action::Send { call, server, timeout } => println!("set call {call} up at {server} within {timeout} us"),
+//!         Action::Refuse { call, .. } | Action::Fail(call) => println!("turn call {call} away"),
+//!         Action::Timer { at, token } => println!("wake at {at} with {token}"),
+//!         other => println!("{other:?}"),
+//!     }
+//! }
+//! assert!(actions.iter().any(|a| matches!(a, Action::Send { call: 1, server: 12, .. })));
+//! # Ok::<(), SettingsError>(())
+//! ```
+
+#![forbid(unsafe_code)]
+
+pub mod interface;
+mod policy;
+
+pub use policy::Controller;
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,850 @@
+//! Every decision of baydrift. The types it takes and gives are in `src/interface.rs`.
+//!
+//! Steps 1 to 5 named below are those of the design page; `docs/design.md` tells what is kept, what
+//! was added and when each addition acts.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::interface::*;
+
+const MS: Micros = 1_000;
+const SECOND: Micros = 1_000_000;
+
+/// Time between loop ticks: well under the age of reports, which is the loop's real delay.
+const TICK: Micros = 50 * MS;
+/// s. Lag of the low-pass filter on reported load (the paper's 0.1 s).
+const LOAD_LAG_S: f64 = 0.1;
+/// Set-point of a told utilisation; the most the design allows, since all below it is idle capacity.
+const TARGET_BUSY: f64 = 0.9;
+/// s. Set-point Tq of the wait at a processor: under the 0.5 s at which set-ups are repeated.
+const TARGET_WAIT_S: f64 = 0.3;
+/// Told rates are noisy and 1 - rate/highest is never negative: so much of it is taken for noise.
+const RATE_NOISE: f64 = 0.15;
+/// Kpc and Kic (1/s) on a wait or queue error, which is relative to the set-point: crossover of 0.6 rad/s
+/// at a delay of about 0.8 s.
+const WAIT_GAINS: (f64, f64) = (0.18, 0.04);
+/// Kpc and Kic (1/s) on a utilisation error, which is at most 1 - target and says nothing of the excess.
+const BUSY_GAINS: (f64, f64) = (1.0, 0.5);
+/// Kpc and Kic (1/s) on a rate error, a fraction of the highest rate.
+const RATE_GAINS: (f64, f64) = (1.0, 0.3);
+/// A negative error unwinds the integral so much faster than a positive one winds it.
+const UNWIND: f64 = 3.0;
+/// Largest relative wait or queue error that the loop believes: one bad report must not refuse all.
+const ERROR_MAX: f64 = 4.0;
+/// Queue set-point where no rate is told: at least so many set-ups.
+const QUEUE_FLOOR: f64 = 3.0;
+/// With no report for so long, a loop stops integrating and its reject fraction fades ...
+const STALE: Micros = 1_500 * MS;
+/// s. ... with this time constant, so that calls (and with them reports) come through again.
+const FADE_S: f64 = 2.0;
+/// A told rate's highest value counts for so long.
+const HIGHEST_RATE_SPAN: Micros = 60 * SECOND;
+/// s. Lag of the arrival rate that paces sends; a front sees a few calls a second.
+const ARRIVAL_LAG_S: f64 = 1.0;
+/// Kpq (1/s) and Kiq (1/s^2) of the pacing loop.
+const PACE_GAINS: (f64, f64) = (0.5, 0.1);
+/// Set-ups that a pacing or ramp bucket can save up.
+const BUCKET: f64 = 2.0;
+/// s. Lag of the rate that a warm server takes from this front, the measure for a cold one.
+const CARRIED_LAG_S: f64 = 10.0;
+/// A cold server gets this share of what it should be able to do.
+const RAMP_SHARE: f64 = 0.9;
+/// Calls that the order of worth and the share of a number are judged on.
+const RECENT_CALLS: usize = 200;
+/// A number dialled by so many of the recent calls is in a flood.
+const HOT_CALLS: usize = 10;
+/// Worth of a call to a flooded number, as a fraction.
+const HOT_WORTH: f64 = 0.1;
+/// A call that stood and was cut has already been served once: it goes before others.
+const CUT_WORTH: f64 = 1.5;
+/// s. Lag of a customer's arrival rate.
+const TENANT_LAG_S: f64 = 5.0;
+/// First and longest pause after failed connects or a row of time-outs.
+const SUSPEND: (Micros, Micros) = (500 * MS, 4 * SECOND);
+/// So many time-outs in a row suspend a server.
+const TIMEOUT_ROW: u32 = 3;
+/// Answers are given so long before the caller's time is up.
+const MARGIN: Micros = 30 * MS;
+/// A set-up with less time than this left is not sent.
+const LEAST_TIME: Micros = 100 * MS;
+/// Slack on the release guard, for rounding of clocks.
+const GUARD_SLACK: Micros = 2 * MS;
+/// Time between probes of one server where reports come only by probe.
+const PROBE_EVERY: Micros = SECOND;
+/// Time until a failed subscription is asked for again.
+const WATCH_AGAIN: Micros = SECOND;
+/// Least time between log lines.
+const LOG_EVERY: Micros = SECOND;
+
+const TOKEN_TICK: u64 = 0;
+const TOKEN_WATCH: u64 = 1;
+/// Low bits of a call's timer tokens; the id stands above them.
+const TOKEN_DEADLINE: u64 = 2;
+const TOKEN_RESEND: u64 = 3;
+
+fn seconds(span: Micros) -> f64 {
+    span as f64 / SECOND as f64
+}
+
+/// First-order low-pass filter over true elapsed time.
+#[derive(Debug, Clone, Copy)]
+struct LowPass {
+    value: f64,
+    lag_s: f64,
+}
+
+impl LowPass {
+    fn step(&mut self, input: f64, dt_s: f64) -> f64 {
+        self.value += (input - self.value) * (1.0 - (-dt_s / self.lag_s).exp());
+        self.value
+    }
+}
+
+/// Rate of events a second, lagged.
+#[derive(Debug, Clone, Copy)]
+struct Meter {
+    rate: f64,
+    at: Micros,
+    lag_s: f64,
+}
+
+impl Meter {
+    fn new(lag_s: f64) -> Self {
+        Self { rate: 0.0, at: 0, lag_s }
+    }
+
+    fn read(&self, now: Micros) -> f64 {
+        self.rate * (-seconds(now.saturating_sub(self.at)) / self.lag_s).exp()
+    }
+
+    fn count(&mut self, now: Micros) {
+        self.rate = self.read(now) + 1.0 / self.lag_s;
+        self.at = now;
+    }
+}
+
+/// PI controller with a clamped output.
+#[derive(Debug, Clone, Copy, Default)]
+struct Pi {
+    integral: f64,
+}
+
+impl Pi {
+    /// One step of `dt_s`. Anti-windup: the integral stays within the output's own range and does not move
+    /// further where the output is at its limit already.
+    fn step(&mut self, error: f64, dt_s: f64, gains: (f64, f64), range: (f64, f64), unwind: f64) -> f64 {
+        let speed = if error < 0.0 { unwind } else { 1.0 };
+        let next = (self.integral + gains.1 * error * dt_s * speed).clamp(range.0, range.1);
+        let output = gains.0 * error + next;
+        if (output <= range.1 || error < 0.0) && (output >= range.0 || error > 0.0 || next > 0.0) {
+            self.integral = next;
+        }
+        (gains.0 * error + self.integral).clamp(range.0, range.1)
+    }
+}
+
+/// What drives a server's reject fraction, in order of choice where several values are told.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Signal {
+    HoldBack(f64),
+    Wait(f64),
+    Queue(f64),
+    Rate(f64),
+    Busy(f64),
+}
+
+impl Signal {
+    /// The nearest to what the loop must hold comes first: the share itself, then the wait, then the queue
+    /// that makes it; a rate or utilisation says only that the processor is busy, not by how much too much.
+    fn of(report: &Report) -> Option<Self> {
+        let told = |value: Option<f64>| value.filter(|v| v.is_finite() && *v >= 0.0);
+        told(report.hold_back)
+            .map(Self::HoldBack)
+            .or(told(report.wait_s).map(Self::Wait))
+            .or(told(report.queue).map(Self::Queue))
+            .or(told(report.rate).map(Self::Rate))
+            .or(told(report.busy).map(Self::Busy))
+    }
+}
+
+/// What this front knows of one server.
+#[derive(Debug)]
+struct Server {
+    number: u16,
+    state: ServerState,
+    started_at: Option<Micros>,
+    /// It may be cold from this time on: told, or the last time nothing could be reached there.
+    cold_since: Option<Micros>,
+    free: Option<f64>,
+    signal: Option<Signal>,
+    told_rate: Option<f64>,
+    told_queue: Option<f64>,
+    reported_at: Micros,
+    highest: VecDeque<(Micros, f64)>,
+    filter: Option<LowPass>,
+    pi: Pi,
+    /// The reject fraction.
+    alpha: f64,
+    unanswered: u32,
+    arrivals: Meter,
+    carried: Meter,
+    pace: Pi,
+    pace_rate: f64,
+    held: VecDeque<CallId>,
+    bucket: f64,
+    bucket_at: Micros,
+    timeouts: u32,
+    pause: Micros,
+    suspended_until: Micros,
+    /// Back from suspension: one set-up at a time until one stands.
+    on_trial: bool,
+    probed_at: Micros,
+}
+
+impl Server {
+    fn new(entry: &Entry, now: Micros) -> Self {
+        Self {
+            number: entry.number,
+            state: entry.state,
+            started_at: entry.started_at,
+            cold_since: entry.started_at,
+            free: None,
+            signal: None,
+            told_rate: None,
+            told_queue: None,
+            reported_at: 0,
+            highest: VecDeque::new(),
+            filter: None,
+            pi: Pi::default(),
+            alpha: 0.0,
+            unanswered: 0,
+            arrivals: Meter::new(ARRIVAL_LAG_S),
+            carried: Meter::new(CARRIED_LAG_S),
+            pace: Pi::default(),
+            pace_rate: 0.0,
+            held: VecDeque::new(),
+            bucket: 0.0,
+            bucket_at: now,
+            timeouts: 0,
+            pause: SUSPEND.0,
+            suspended_until: 0,
+            on_trial: false,
+            probed_at: 0,
+        }
+    }
+
+    fn is_cold(&self, now: Micros, ramp: Micros) -> bool {
+        self.cold_since.is_some_and(|since| now < since.saturating_add(ramp))
+    }
+
+    fn paced(&self) -> bool {
+        self.told_rate.is_some() && self.told_queue.is_some()
+    }
+
+    fn note_report(&mut self, now: Micros, report: &Report) {
+        if report.free.is_some() {
+            self.free = report.free;
+        }
+        let Some(signal) = Signal::of(report) else { return };
+        self.signal = Some(signal);
+        self.reported_at = now;
+        let told = |value: Option<f64>| value.filter(|v| v.is_finite() && *v >= 0.0);
+        self.told_rate = told(report.rate);
+        self.told_queue = told(report.queue);
+        if let Some(rate) = self.told_rate {
+            // A falling staircase of rates: its front is the highest within the span.
+            while self.highest.back().is_some_and(|(_, low)| *low <= rate) {
+                self.highest.pop_back();
+            }
+            self.highest.push_back((now, rate));
+            while self.highest.front().is_some_and(|(at, _)| at.saturating_add(HIGHEST_RATE_SPAN) < now) {
+                self.highest.pop_front();
+            }
+        }
+    }
+
+    /// Steps 1 and 2: reported load to reject fraction.
+    fn tick(&mut self, now: Micros, dt_s: f64, fronts: f64) {
+        let fresh = self.signal.filter(|_| now.saturating_sub(self.reported_at) <= STALE);
+        let Some(signal) = fresh else {
+            // Guards against feedback that went missing: at a high reject fraction nothing is sent, so
+            // nothing is answered, so nothing is reported. Neither frozen nor wound further: it fades.
+            self.pi.integral *= (-dt_s / FADE_S).exp();
+            if self.pi.integral < 0.01 {
+                self.pi.integral = 0.0;
+            }
+            self.alpha = self.pi.integral.min(self.alpha);
+            self.filter = None;
+            self.pace_rate = self.arrivals.read(now);
+            return;
+        };
+        let highest = self.highest.front().map_or(0.0, |(_, rate)| *rate);
+        let (error, gains) = match signal {
+            Signal::HoldBack(share) => (share, (1.0, 0.0)),
+            Signal::Wait(wait) => ((wait / TARGET_WAIT_S - 1.0).min(ERROR_MAX), WAIT_GAINS),
+            Signal::Queue(queue) => {
+                let rate = self.told_rate.unwrap_or(self.carried.read(now) * fronts);
+                let target = (TARGET_WAIT_S * rate).max(QUEUE_FLOOR);
+                ((queue / target - 1.0).min(ERROR_MAX), WAIT_GAINS)
+            }
+            Signal::Rate(rate) if highest > 0.0 => (1.0 - rate / highest - RATE_NOISE, RATE_GAINS),
+            Signal::Rate(_) => (0.0, RATE_GAINS),
+            Signal::Busy(busy) => (busy.min(1.0) - TARGET_BUSY, BUSY_GAINS),
+        };
+        let filter = self.filter.get_or_insert(LowPass { value: error, lag_s: LOAD_LAG_S });
+        let error = filter.step(error, dt_s);
+        self.alpha = match signal {
+            Signal::HoldBack(_) => error.clamp(0.0, 1.0),
+            _ => self.pi.step(error, dt_s, gains, (0.0, 1.0), UNWIND),
+        };
+        // Step 4: the pace. Queue and rate belong to all fronts; this one corrects its share.
+        let arrivals = self.arrivals.read(now);
+        if let (Some(rate), Some(queue)) = (self.told_rate, self.told_queue) {
+            let error = (TARGET_WAIT_S * rate - queue) / fronts;
+            let span = (-arrivals, rate);
+            let paced = arrivals + self.pace.step(error, dt_s, PACE_GAINS, span, 1.0);
+            self.pace_rate = if self.alpha > 0.0 { paced } else { paced.max(arrivals) };
+        }
+    }
+
+    fn fill(&mut self, now: Micros, rate: f64) {
+        let dt_s = seconds(now.saturating_sub(self.bucket_at));
+        self.bucket = (self.bucket + rate * dt_s).min(BUCKET);
+        self.bucket_at = now;
+    }
+
+    /// A sign that the server does not work; it is left alone, each time for longer.
+    fn suspend(&mut self, now: Micros) {
+        if now >= self.suspended_until {
+            self.suspended_until = now + self.pause;
+            self.pause = (self.pause * 2).min(SUSPEND.1);
+            self.on_trial = true;
+        }
+    }
+
+    fn proven(&mut self) {
+        self.timeouts = 0;
+        self.pause = SUSPEND.0;
+        self.on_trial = false;
+    }
+}
+
+/// A call that is owed an answer.
+#[derive(Debug)]
+struct Pending {
+    call: Call,
+    worth: f64,
+    aim_at: Micros,
+    answer_by: Micros,
+    attempts: u32,
+    out: Option<(u16, ServerId)>,
+    last: Option<ServerId>,
+    held_at: Option<ServerId>,
+    not_before: Micros,
+    /// When the first attempt that may have run was sent.
+    may_have_run: Option<Micros>,
+    sent_at: Micros,
+}
+
+/// The decisions of one front. See the crate's page for how to embed it.
+#[derive(Debug)]
+pub struct Controller {
+    settings: Settings,
+    rng: Pcg64Mcg,
+    servers: BTreeMap<ServerId, Server>,
+    calls: BTreeMap<CallId, Pending>,
+    unanswered: BTreeMap<(CallId, u16), ServerId>,
+    tenants: Vec<Meter>,
+    arrivals: Meter,
+    recent: VecDeque<(f64, u64)>,
+    ticked_at: Option<Micros>,
+    logged_at: Option<Micros>,
+    watching: bool,
+}
+
+impl Controller {
+    /// A controller that knows no servers yet.
+    ///
+    /// # Errors
+    /// When the settings hold a figure that nothing sensible can be done with.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        let sane = |v: f64| v.is_finite() && v >= 0.0;
+        if settings.fronts == 0 {
+            return Err(SettingsError::Zero("fronts"));
+        }
+        if settings.classes.is_empty() {
+            return Err(SettingsError::Zero("classes"));
+        }
+        if settings.max_attempts == 0 {
+            return Err(SettingsError::Zero("max attempts"));
+        }
+        if !settings.classes.iter().all(|c| sane(c.worth) && sane(c.late_worth)) {
+            return Err(SettingsError::OutOfRange("a class's worth"));
+        }
+        if !settings.tenants.iter().all(|t| sane(t.quota_per_s)) || !sane(settings.over_share_worth) {
+            return Err(SettingsError::OutOfRange("a customer's share"));
+        }
+        if !(0.0..=1.0).contains(&settings.cold_from) || !sane(settings.fall_multiple) {
+            return Err(SettingsError::OutOfRange("the cold start's figures"));
+        }
+        Ok(Self {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            servers: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            unanswered: BTreeMap::new(),
+            tenants: settings.tenants.iter().map(|_| Meter::new(TENANT_LAG_S)).collect(),
+            arrivals: Meter::new(ARRIVAL_LAG_S),
+            recent: VecDeque::new(),
+            ticked_at: None,
+            logged_at: None,
+            watching: false,
+            settings,
+        })
+    }
+
+    /// Takes one event at a time that never goes back, and appends what is to be done.
+    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        if self.settings.subscribe && !self.watching {
+            self.watching = true;
+            actions.push(Action::Watch);
+        }
+        if self.ticked_at.is_none_or(|at| now >= at.saturating_add(TICK)) {
+            self.tick(now, actions);
+        }
+        match event {
+            Event::List(kind, entries) => self.list(now, kind, &entries, actions),
+            Event::Call(call) => self.call(now, call, actions),
+            Event::Stands { call, attempt, server, .. } => {
+                self.calls.remove(&call);
+                self.answered(call, attempt);
+                if let Some(server) = self.servers.get_mut(&server) {
+                    server.proven();
+                    server.carried.count(now);
+                }
+            }
+            Event::Ended { call, attempt, server, outcome, complete, note, report, .. } => {
+                self.answered(call, attempt);
+                self.attempt_ended(now, server, outcome, &report, actions);
+                let ours = self.calls.get(&call).is_some_and(|p| p.out == Some((attempt, server)));
+                if complete {
+                    self.calls.remove(&call);
+                } else if ours {
+                    self.after_failure(now, call, outcome, note, actions);
+                }
+            }
+            Event::Abandoned(call) => {
+                self.calls.remove(&call);
+            }
+            Event::Probed { server, outcome, lag, report } => {
+                let asked = lag > 0 || outcome != Outcome::Ok;
+                if let Some(server) = self.servers.get_mut(&server) {
+                    server.note_report(now, &report);
+                    match outcome {
+                        Outcome::Ok if asked => server.proven(),
+                        _ if asked => server.suspend(now),
+                        _ => {}
+                    }
+                }
+            }
+            Event::Peer { .. } => {}
+            Event::Timer(TOKEN_TICK) => {}
+            Event::Timer(TOKEN_WATCH) => actions.push(Action::Watch),
+            Event::Timer(token) => self.timer(now, (token >> 2) as CallId, token & 3, actions),
+        }
+    }
+
+    fn log(&mut self, now: Micros, text: String, actions: &mut Vec<Action>) {
+        if self.logged_at.is_none_or(|at| now >= at.saturating_add(LOG_EVERY)) {
+            self.logged_at = Some(now);
+            actions.push(Action::Log(text));
+        }
+    }
+
+    fn tick(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        let dt_s = self.ticked_at.map_or(0.0, |at| seconds(now.saturating_sub(at)));
+        self.ticked_at = Some(now);
+        actions.push(Action::Timer { at: now + TICK, token: TOKEN_TICK });
+        let probing = self.settings.reports == ReportPath::Probes && self.settings.may_probe;
+        let mut due = Vec::new();
+        for (id, server) in &mut self.servers {
+            server.tick(now, dt_s, f64::from(self.settings.fronts));
+            let listed = server.state == ServerState::Ready;
+            if probing && listed && now >= server.probed_at.saturating_add(PROBE_EVERY) {
+                server.probed_at = now;
+                actions.push(Action::Probe(*id));
+            }
+            if !server.held.is_empty() {
+                due.push(*id);
+            }
+        }
+        for id in due {
+            self.release(now, id, actions);
+        }
+    }
+
+    fn list(&mut self, now: Micros, kind: ListKind, entries: &[Entry], actions: &mut Vec<Action>) {
+        if kind == ListKind::Failed {
+            actions.push(Action::Timer { at: now + WATCH_AGAIN, token: TOKEN_WATCH });
+            return;
+        }
+        let mut leaving = Vec::new();
+        if kind == ListKind::Full {
+            leaving.extend(self.servers.keys().filter(|id| entries.iter().all(|e| e.server != **id)));
+        }
+        for entry in entries {
+            if entry.state == ServerState::Gone {
+                leaving.push(entry.server);
+                continue;
+            }
+            let known = self.servers.get_mut(&entry.server);
+            match known.filter(|server| server.started_at == entry.started_at) {
+                Some(server) => {
+                    server.number = entry.number;
+                    server.state = entry.state;
+                }
+                None => {
+                    // A new process: nothing learnt of the old one holds.
+                    let fresh = Server::new(entry, now);
+                    let held = self.servers.insert(entry.server, fresh).map(|old| old.held);
+                    self.rehome(now, held, actions);
+                    if entry.started_at.is_some_and(|at| now < at + self.settings.ramp_time) {
+                        let text = format!("cold start: server number {} ramps", entry.number);
+                        self.log(now, text, actions);
+                    }
+                }
+            }
+            if entry.state == ServerState::Draining {
+                let held = self.servers.get_mut(&entry.server).map(|s| std::mem::take(&mut s.held));
+                self.rehome(now, held, actions);
+            }
+        }
+        for id in leaving {
+            let held = self.servers.remove(&id).map(|server| server.held);
+            self.rehome(now, held, actions);
+        }
+    }
+
+    /// Calls held for a server that takes nothing more are placed anew.
+    fn rehome(&mut self, now: Micros, held: Option<VecDeque<CallId>>, actions: &mut Vec<Action>) {
+        for id in held.into_iter().flatten() {
+            if let Some(pending) = self.calls.get_mut(&id).filter(|p| p.held_at.is_some()) {
+                pending.held_at = None;
+                pending.last = None;
+                self.place(now, id, actions);
+            }
+        }
+    }
+
+    fn call(&mut self, now: Micros, call: Call, actions: &mut Vec<Action>) {
+        let id = call.id;
+        if self.calls.contains_key(&id) {
+            return;
+        }
+        self.arrivals.count(now);
+        let Some(class) = self.settings.classes.get(call.class) else {
+            actions.push(Action::Refuse { call: id, retry_after: 0 });
+            return;
+        };
+        let answer_by = (now + call.gives_up_in).saturating_sub(MARGIN);
+        let aim_at = (now + class.aim).min(answer_by);
+        let worth = self.worth_of(now, &call);
+        self.recent.push_back((worth, call.number));
+        if self.recent.len() > RECENT_CALLS {
+            self.recent.pop_front();
+        }
+        let pending = Pending {
+            call,
+            worth,
+            aim_at,
+            answer_by,
+            attempts: 0,
+            out: None,
+            last: None,
+            held_at: None,
+            not_before: now,
+            may_have_run: None,
+            sent_at: now,
+        };
+        self.calls.insert(id, pending);
+        actions.push(Action::Timer { at: answer_by.max(now), token: u64::from(id) << 2 | TOKEN_DEADLINE });
+        self.place(now, id, actions);
+    }
+
+    /// What a call is worth, as far as settings and this front's own traffic tell.
+    fn worth_of(&mut self, now: Micros, call: &Call) -> f64 {
+        let mut worth = self.settings.classes.get(call.class).map_or(0.0, |class| class.worth);
+        if let Some(meter) = self.tenants.get_mut(call.tenant) {
+            meter.count(now);
+            let rate = meter.read(now) * f64::from(self.settings.fronts);
+            let quota = self.settings.tenants.get(call.tenant).map_or(rate, |t| t.quota_per_s);
+            if rate > quota {
+                let mean = (quota + self.settings.over_share_worth * (rate - quota)) / rate;
+                // In quarters, so that calls of about the same worth count as equal.
+                worth *= (mean * 4.0).round() / 4.0;
+            }
+        }
+        let same = self.recent.iter().filter(|(_, number)| *number == call.number).count();
+        if call.number != 0 && same >= HOT_CALLS {
+            worth *= HOT_WORTH;
+        }
+        if call.was_cut {
+            worth *= CUT_WORTH;
+        }
+        worth
+    }
+
+    /// The reject fraction, spent on calls of low worth first; its mean over recent calls stays alpha.
+    fn refusal(&self, alpha: f64, worth: f64) -> f64 {
+        let total = self.recent.len().max(1) as f64;
+        let below = self.recent.iter().filter(|(w, _)| *w < worth).count() as f64 / total;
+        let equal = self.recent.iter().filter(|(w, _)| *w == worth).count() as f64 / total;
+        ((alpha - below) / equal.max(1.0 / total)).clamp(0.0, 1.0)
+    }
+
+    fn chance(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn draw(&mut self, below: usize) -> usize {
+        ((self.chance() * below as f64) as usize).min(below.saturating_sub(1))
+    }
+
+    /// Set-ups a second that this front may send to a cold server: its own share of what a warm one takes,
+    /// so that the fronts together keep to what the server can do, whoever has how much of the traffic.
+    fn ramp_rate(&self, now: Micros, since: Micros) -> f64 {
+        let ramp = self.settings.ramp_time;
+        let warm = self.servers.values().filter(|s| !s.is_cold(now, ramp));
+        let carried = warm.map(|s| s.carried.read(now)).fold(0.0, f64::max);
+        let own = self.arrivals.read(now) / self.servers.len().max(1) as f64;
+        let full = if carried > 0.0 { carried } else { own };
+        let age = seconds(now.saturating_sub(since)) / seconds(ramp.max(1));
+        let warmth = self.settings.cold_from + (1.0 - self.settings.cold_from) * age.min(1.0);
+        full * warmth * RAMP_SHARE * (self.settings.fall_multiple / 2.0).min(1.0)
+    }
+
+    /// Servers that may take the call now.
+    fn allowed(&mut self, now: Micros, id: CallId) -> Vec<ServerId> {
+        let ramp = self.settings.ramp_time;
+        let cold: Vec<_> = self.servers.iter().filter(|(_, s)| s.is_cold(now, ramp)).map(|(id, _)| *id).collect();
+        for id in cold {
+            let since = self.servers.get(&id).and_then(|s| s.cold_since).unwrap_or(now);
+            let rate = self.ramp_rate(now, since);
+            if let Some(server) = self.servers.get_mut(&id) {
+                server.fill(now, rate);
+            }
+        }
+        let Some(pending) = self.calls.get(&id) else { return Vec::new() };
+        let call = &pending.call;
+        let skilled = self.settings.classes.get(call.class).and_then(|class| class.servers.as_ref());
+        let fits = |server: &Server| {
+            server.state == ServerState::Ready
+                && self.settings.own_number != Some(server.number)
+                && skilled.is_none_or(|numbers| numbers.contains(&server.number))
+                && (!call.in_transit || call.first_choice == Some(server.number))
+                && now >= server.suspended_until
+                && !(server.on_trial && server.unanswered > 0)
+                && (!server.is_cold(now, ramp) || server.bucket >= 1.0)
+        };
+        let mut allowed: Vec<_> = self.servers.iter().filter(|(_, s)| fits(s)).map(|(id, _)| *id).collect();
+        if let Some(last) = pending.last.filter(|_| allowed.len() > 1) {
+            allowed.retain(|server| *server != last);
+        }
+        allowed
+    }
+
+    /// Step 5: which server the call goes to.
+    fn choose(&mut self, now: Micros, id: CallId) -> Option<ServerId> {
+        let allowed = self.allowed(now, id);
+        let first = self.calls.get(&id)?.call.first_choice;
+        let clear = |server: &Server| server.alpha == 0.0 && server.free.is_none_or(|free| free > 0.0);
+        let lookup = |id: &ServerId| self.servers.get(id);
+        let direct = allowed.iter().find(|id| lookup(id).is_some_and(|s| Some(s.number) == first && clear(s)));
+        if direct.is_some() || allowed.len() < 2 {
+            return direct.or(allowed.first()).copied();
+        }
+        let one = self.draw(allowed.len());
+        let other = (one + 1 + self.draw(allowed.len() - 1)) % allowed.len();
+        let load = |i: usize| self.servers.get(&allowed[i]).map_or(u32::MAX, |s| s.unanswered);
+        Some(allowed[if load(other) < load(one) { other } else { one }])
+    }
+
+    /// Finds the call a server and sends it, holds it for its pace, or refuses it.
+    fn place(&mut self, now: Micros, id: CallId, actions: &mut Vec<Action>) {
+        let Some(pending) = self.calls.get(&id) else { return };
+        let (worth, tries) = (pending.worth, pending.attempts);
+        let late = now + LEAST_TIME > pending.answer_by;
+        if late || tries >= self.settings.max_attempts {
+            return self.turn_away(id, actions);
+        }
+        let Some(choice) = self.choose(now, id) else {
+            return self.turn_away(id, actions);
+        };
+        let Some(server) = self.servers.get_mut(&choice) else { return };
+        server.arrivals.count(now);
+        let (alpha, paced) = (server.alpha, server.paced());
+        // Step 3. Later attempts draw as well: the processor does not care which attempt loads it.
+        let refusal = self.refusal(alpha, worth);
+        if self.chance() < refusal {
+            return self.turn_away(id, actions);
+        }
+        if paced {
+            if let Some(server) = self.servers.get_mut(&choice) {
+                server.held.push_back(id);
+            }
+            if let Some(pending) = self.calls.get_mut(&id) {
+                pending.held_at = Some(choice);
+            }
+            self.release(now, choice, actions);
+        } else {
+            self.send(now, id, choice, actions);
+        }
+    }
+
+    /// Step 4: sends held calls at the server's pace; those past their aim are refused.
+    fn release(&mut self, now: Micros, id: ServerId, actions: &mut Vec<Action>) {
+        let ramp = self.settings.ramp_time;
+        loop {
+            let Some(server) = self.servers.get_mut(&id) else { return };
+            let rate = server.pace_rate.max(server.arrivals.read(now) * f64::from(u8::from(!server.paced())));
+            if !server.is_cold(now, ramp) {
+                server.fill(now, rate);
+            }
+            let Some(call) = server.held.front().copied() else { return };
+            let held = self.calls.get_mut(&call).filter(|p| p.held_at == Some(id));
+            let Some(pending) = held else {
+                server.held.pop_front();
+                continue;
+            };
+            let past = now >= pending.aim_at;
+            if !past && server.bucket < 1.0 {
+                return;
+            }
+            server.held.pop_front();
+            pending.held_at = None;
+            if past {
+                self.turn_away(call, actions);
+            } else {
+                if !server.is_cold(now, ramp) {
+                    server.bucket -= 1.0;
+                }
+                self.send(now, call, id, actions);
+            }
+        }
+    }
+
+    fn send(&mut self, now: Micros, id: CallId, choice: ServerId, actions: &mut Vec<Action>) {
+        let ramp = self.settings.ramp_time;
+        let (Some(pending), Some(server)) = (self.calls.get_mut(&id), self.servers.get_mut(&choice)) else {
+            return;
+        };
+        let attempt = pending.attempts.min(u32::from(u16::MAX)) as u16;
+        pending.attempts += 1;
+        pending.out = Some((attempt, choice));
+        pending.last = Some(choice);
+        pending.sent_at = now;
+        if server.is_cold(now, ramp) {
+            server.bucket -= 1.0;
+        }
+        server.unanswered += 1;
+        self.unanswered.insert((id, attempt), choice);
+        let timeout = pending.answer_by.saturating_sub(now + MS).max(1);
+        actions.push(Action::Send { call: id, server: choice, timeout });
+    }
+
+    /// An attempt is no longer out, or stands.
+    fn answered(&mut self, call: CallId, attempt: u16) {
+        if let Some(server) = self.unanswered.remove(&(call, attempt)) {
+            if let Some(server) = self.servers.get_mut(&server) {
+                server.unanswered = server.unanswered.saturating_sub(1);
+            }
+        }
+    }
+
+    /// What an attempt's end says of its server.
+    fn attempt_ended(&mut self, now: Micros, id: ServerId, outcome: Outcome, report: &Report, actions: &mut Vec<Action>) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.note_report(now, report);
+        let number = server.number;
+        let was = server.suspended_until;
+        match outcome {
+            Outcome::ConnectFailed => {
+                // Nothing runs there: whatever answers next has just started, told or not.
+                server.cold_since = Some(now);
+                server.bucket = 0.0;
+                server.suspend(now);
+            }
+            Outcome::Timeout => {
+                server.timeouts += 1;
+                if server.timeouts >= TIMEOUT_ROW {
+                    server.suspend(now);
+                }
+            }
+            Outcome::Ok | Outcome::Full | Outcome::Error => server.timeouts = 0,
+            Outcome::Reset | Outcome::Cancelled | Outcome::Moot => {}
+        }
+        if server.suspended_until > was {
+            self.log(now, format!("suspended: server number {number} after {outcome:?}"), actions);
+        }
+    }
+
+    /// What becomes of a call whose attempt failed.
+    fn after_failure(&mut self, now: Micros, id: CallId, outcome: Outcome, note: Note, actions: &mut Vec<Action>) {
+        let guard = self.settings.release_guard;
+        let Some(pending) = self.calls.get_mut(&id) else { return };
+        pending.out = None;
+        let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        if !never_ran && pending.may_have_run.is_none() {
+            pending.may_have_run = Some(pending.sent_at);
+        }
+        let repeat = self.settings.classes.get(pending.call.class).map_or(Repeat::Never, |c| c.repeat);
+        let again = match (pending.may_have_run, repeat) {
+            (None, _) | (_, Repeat::Safe) => true,
+            (Some(at), Repeat::Within(window)) => now + guard < at.saturating_add(window),
+            (Some(_), Repeat::Never) => false,
+        };
+        if !again || note == Note::NumberBusy || now + LEAST_TIME > pending.answer_by {
+            return self.turn_away(id, actions);
+        }
+        if never_ran || outcome == Outcome::Error {
+            return self.place(now, id, actions);
+        }
+        pending.not_before = now + guard + GUARD_SLACK;
+        actions.push(Action::Timer { at: pending.not_before, token: u64::from(id) << 2 | TOKEN_RESEND });
+    }
+
+    /// The final answer: refused while no attempt may have run or repeats are safe, else failed.
+    fn turn_away(&mut self, id: CallId, actions: &mut Vec<Action>) {
+        let Some(pending) = self.calls.remove(&id) else { return };
+        let repeat = self.settings.classes.get(pending.call.class).map_or(Repeat::Never, |c| c.repeat);
+        if pending.may_have_run.is_some() && repeat == Repeat::Never {
+            actions.push(Action::Fail(id));
+        } else {
+            actions.push(Action::Refuse { call: id, retry_after: 0 });
+        }
+    }
+
+    fn timer(&mut self, now: Micros, id: CallId, kind: u64, actions: &mut Vec<Action>) {
+        let Some(pending) = self.calls.get(&id) else { return };
+        match kind {
+            TOKEN_DEADLINE if now + MS >= pending.answer_by => {
+                // The last resort of every held call, whatever it waits for.
+                if let Some((attempt, _)) = pending.out {
+                    if self.settings.may_cancel {
+                        actions.push(Action::Cancel { call: id, attempt });
+                    }
+                    self.calls.remove(&id);
+                    actions.push(Action::Fail(id));
+                } else {
+                    self.turn_away(id, actions);
+                }
+            }
+            TOKEN_RESEND if now >= pending.not_before && pending.out.is_none() && pending.held_at.is_none() => {
+                self.place(now, id, actions);
+            }
+            _ => {}
+        }
+    }
+}
