--- a/src/policy.rs
+++ b/src/policy.rs
@@ -427,7 +427,7 @@
             }
             Event::Ended { call, attempt, server, outcome, complete, note, report, .. } => {
                 self.answered(call, attempt);
-                self.attempt_ended(now, server, outcome, &report, actions);
+                self.attempt_ended(now, server, outcome, note, &report, actions);
                 let ours = self.calls.get(&call).is_some_and(|p| p.out == Some((attempt, server)));
                 if complete {
                     self.calls.remove(&call);
@@ -647,6 +647,7 @@
                 && now >= server.suspended_until
                 && !(server.on_trial && server.unanswered > 0)
                 && (!server.is_cold(now, ramp) || server.bucket >= 1.0)
+                && server.free.is_none_or(|free| free > 0.0)
         };
         let mut allowed: Vec<_> = self.servers.iter().filter(|(_, s)| fits(s)).map(|(id, _)| *id).collect();
         if let Some(last) = pending.last.filter(|_| allowed.len() > 1) {
@@ -748,6 +749,9 @@
         if server.is_cold(now, ramp) {
             server.bucket -= 1.0;
         }
+        // Guards against a run on the last lines: every front sees the same few, so each counts them down
+        // as if all sent alike, until it is told anew (which an own call's end does, freeing a line).
+        server.free = server.free.map(|free| free - f64::from(self.settings.fronts));
         server.unanswered += 1;
         self.unanswered.insert((id, attempt), choice);
         let timeout = pending.answer_by.saturating_sub(now + MS).max(1);
@@ -764,9 +768,12 @@
     }
 
     /// What an attempt's end says of its server.
-    fn attempt_ended(&mut self, now: Micros, id: ServerId, outcome: Outcome, report: &Report, actions: &mut Vec<Action>) {
+    fn attempt_ended(&mut self, now: Micros, id: ServerId, outcome: Outcome, note: Note, report: &Report, actions: &mut Vec<Action>) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.note_report(now, report);
+        if note == Note::NoLine {
+            server.free = Some(0.0);
+        }
         let number = server.number;
         let was = server.suspended_until;
         match outcome {
