Seen wait: the worse of told load and own set-up times drives alpha

Should also hold against frozen and false reports and pauses; may hurt where the network, not the processor, is slow.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,6 +32,10 @@
 const RATE_GAINS: (f64, f64) = (1.0, 0.3);
 /// A negative error unwinds the integral so much faster than a positive one winds it.
 const UNWIND: f64 = 3.0;
+/// A wait seen by this front itself counts for so long.
+const SEEN_FRESH: Micros = SECOND;
+/// s. Wait taken for granted at a processor that answers 'full' without naming one.
+const FULL_WAIT_S: f64 = 2.0;
 /// Largest relative wait or queue error that the loop believes: one bad report must not refuse all.
 const ERROR_MAX: f64 = 4.0;
 /// Queue set-point where no rate is told: at least so many set-ups.
@@ -183,6 +187,10 @@
     told_rate: Option<f64>,
     told_queue: Option<f64>,
     reported_at: Micros,
+    /// The shortest and the latest set-up time that this front saw itself; the difference is waiting.
+    least_lag: Micros,
+    seen_wait_s: f64,
+    seen_at: Micros,
     highest: VecDeque<(Micros, f64)>,
     filter: Option<LowPass>,
     pi: Pi,
@@ -216,6 +224,9 @@
             told_rate: None,
             told_queue: None,
             reported_at: 0,
+            least_lag: Micros::MAX,
+            seen_wait_s: 0.0,
+            seen_at: 0,
             highest: VecDeque::new(),
             filter: None,
             pi: Pi::default(),
@@ -244,6 +255,16 @@
         self.told_rate.is_some() && self.told_queue.is_some()
     }
 
+    fn see_wait(&mut self, now: Micros, wait_s: f64) {
+        self.seen_wait_s = wait_s;
+        self.seen_at = now;
+    }
+
+    fn see_lag(&mut self, now: Micros, lag: Micros) {
+        self.least_lag = self.least_lag.min(lag);
+        self.see_wait(now, seconds(lag - self.least_lag));
+    }
+
     fn note_report(&mut self, now: Micros, report: &Report) {
         if report.free.is_some() {
             self.free = report.free;
@@ -268,8 +289,10 @@
 
     /// Steps 1 and 2: reported load to reject fraction.
     fn tick(&mut self, now: Micros, dt_s: f64, fronts: f64) {
-        let fresh = self.signal.filter(|_| now.saturating_sub(self.reported_at) <= STALE);
-        let Some(signal) = fresh else {
+        let told = self.signal.filter(|_| now.saturating_sub(self.reported_at) <= STALE);
+        let seen = Some(Signal::Wait(self.seen_wait_s));
+        let seen = seen.filter(|_| self.seen_at > 0 && now.saturating_sub(self.seen_at) <= SEEN_FRESH);
+        let Some(signal) = told.or(seen) else {
             // Guards against feedback that went missing: at a high reject fraction nothing is sent, so
             // nothing is answered, so nothing is reported. Neither frozen nor wound further: it fades.
             self.pi.integral *= (-dt_s / FADE_S).exp();
@@ -294,6 +317,15 @@
             Signal::Rate(_) => (0.0, RATE_GAINS),
             Signal::Busy(busy) => (busy.min(1.0) - TARGET_BUSY, BUSY_GAINS),
         };
+        // Guards against reports that lie, lag or say too little (a rate or utilisation does not tell by how
+        // much a processor is overrun): where the set-up times seen here are worse, they drive the loop.
+        let seen = self.seen_wait_s / TARGET_WAIT_S - 1.0;
+        let (error, gains) = match signal {
+            Signal::HoldBack(_) => (error, gains),
+            _ if now.saturating_sub(self.seen_at) > SEEN_FRESH || seen <= 0.0 => (error, gains),
+            _ if error * gains.0 >= seen.min(ERROR_MAX) * WAIT_GAINS.0 => (error, gains),
+            _ => (seen.min(ERROR_MAX), WAIT_GAINS),
+        };
         let filter = self.filter.get_or_insert(LowPass { value: error, lag_s: LOAD_LAG_S });
         let error = filter.step(error, dt_s);
         self.alpha = match signal {
@@ -417,17 +449,18 @@
         match event {
             Event::List(kind, entries) => self.list(now, kind, &entries, actions),
             Event::Call(call) => self.call(now, call, actions),
-            Event::Stands { call, attempt, server, .. } => {
+            Event::Stands { call, attempt, server, lag } => {
                 self.calls.remove(&call);
                 self.answered(call, attempt);
                 if let Some(server) = self.servers.get_mut(&server) {
                     server.proven();
+                    server.see_lag(now, lag);
                     server.carried.count(now);
                 }
             }
-            Event::Ended { call, attempt, server, outcome, complete, note, report, .. } => {
+            Event::Ended { call, attempt, server, outcome, lag, complete, note, report } => {
                 self.answered(call, attempt);
-                self.attempt_ended(now, server, outcome, note, &report, actions);
+                self.attempt_ended(now, server, outcome, lag, note, &report, actions);
                 let ours = self.calls.get(&call).is_some_and(|p| p.out == Some((attempt, server)));
                 if complete {
                     self.calls.remove(&call);
@@ -768,12 +801,15 @@
     }
 
     /// What an attempt's end says of its server.
-    fn attempt_ended(&mut self, now: Micros, id: ServerId, outcome: Outcome, note: Note, report: &Report, actions: &mut Vec<Action>) {
+    fn attempt_ended(&mut self, now: Micros, id: ServerId, outcome: Outcome, lag: Micros, note: Note, report: &Report, actions: &mut Vec<Action>) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.note_report(now, report);
         if note == Note::NoLine {
             server.free = Some(0.0);
         }
+        if let Note::ProcessorFull(wait) = note {
+            server.see_wait(now, seconds(wait).max(FULL_WAIT_S));
+        }
         let number = server.number;
         let was = server.suspended_until;
         match outcome {
@@ -784,6 +820,7 @@
                 server.suspend(now);
             }
             Outcome::Timeout => {
+                server.see_wait(now, seconds(lag));
                 server.timeouts += 1;
                 if server.timeouts >= TIMEOUT_ROW {
                     server.suspend(now);
