--- a/src/policy.rs
+++ b/src/policy.rs
@@ -689,13 +689,17 @@
         allowed
     }
 
+    /// Whether a server shows free lines and refuses nothing.
+    fn clear(&self, id: &ServerId) -> bool {
+        self.servers.get(id).is_some_and(|s| s.alpha == 0.0 && s.free.is_none_or(|free| free > 0.0))
+    }
+
     /// Step 5: which server the call goes to.
     fn choose(&mut self, now: Micros, id: CallId) -> Option<ServerId> {
         let allowed = self.allowed(now, id);
         let first = self.calls.get(&id)?.call.first_choice;
-        let clear = |server: &Server| server.alpha == 0.0 && server.free.is_none_or(|free| free > 0.0);
-        let lookup = |id: &ServerId| self.servers.get(id);
-        let direct = allowed.iter().find(|id| lookup(id).is_some_and(|s| Some(s.number) == first && clear(s)));
+        let lookup = |id: &ServerId| self.servers.get(id).map(|s| s.number);
+        let direct = allowed.iter().find(|id| lookup(id) == first && self.clear(id));
         if direct.is_some() || allowed.len() < 2 {
             return direct.or(allowed.first()).copied();
         }
@@ -721,8 +725,16 @@
         let (alpha, paced) = (server.alpha, server.paced());
         // Step 3. Later attempts draw as well: the processor does not care which attempt loads it.
         let refusal = self.refusal(alpha, worth);
+        let mut choice = choice;
         if self.chance() < refusal {
-            return self.turn_away(id, actions);
+            // Guards against refusing a call while a processor idles: what one server refuses is offered to
+            // an allowed one with alpha at nought, as an upstream would try its next route after a 503.
+            let clear = self.allowed(now, id);
+            let clear: Vec<_> = clear.into_iter().filter(|s| self.clear(s)).collect();
+            let Some(next) = clear.iter().min_by_key(|id| self.servers.get(id).map(|s| s.unanswered)) else {
+                return self.turn_away(id, actions);
+            };
+            choice = *next;
         }
         if paced {
             if let Some(server) = self.servers.get_mut(&choice) {
