--- a/src/policy.rs
+++ b/src/policy.rs
@@ -21,15 +21,13 @@
 const TARGET_BUSY: f64 = 0.9;
 /// s. Set-point Tq of the wait at a processor: under the 0.5 s at which set-ups are repeated.
 const TARGET_WAIT_S: f64 = 0.3;
-/// Told rates are noisy and 1 - rate/highest is never negative: so much of it is taken for noise.
-const RATE_NOISE: f64 = 0.15;
 /// Kpc and Kic (1/s) on a wait or queue error, which is relative to the set-point: crossover of 0.6 rad/s
 /// at a delay of about 0.8 s.
 const WAIT_GAINS: (f64, f64) = (0.18, 0.04);
 /// Kpc and Kic (1/s) on a utilisation error, which is at most 1 - target and says nothing of the excess.
 const BUSY_GAINS: (f64, f64) = (1.0, 0.5);
-/// Kpc and Kic (1/s) on a rate error, a fraction of the highest rate.
-const RATE_GAINS: (f64, f64) = (1.0, 0.3);
+/// Kpc and Kic (1/s) on a rate error, a fraction of the rate that is asked for.
+const RATE_GAINS: (f64, f64) = (0.7, 0.2);
 /// A negative error unwinds the integral so much faster than a positive one winds it.
 const UNWIND: f64 = 3.0;
 /// A wait seen by this front itself counts for so long.
@@ -44,10 +42,8 @@
 const STALE: Micros = 1_500 * MS;
 /// s. ... with this time constant, so that calls (and with them reports) come through again.
 const FADE_S: f64 = 2.0;
-/// A told rate's highest value counts for so long.
-const HIGHEST_RATE_SPAN: Micros = 60 * SECOND;
 /// s. Lag of the arrival rate that paces sends; a front sees a few calls a second.
-const ARRIVAL_LAG_S: f64 = 1.0;
+const ARRIVAL_LAG_S: f64 = 2.0;
 /// Kpq (1/s) and Kiq (1/s^2) of the pacing loop.
 const PACE_GAINS: (f64, f64) = (0.5, 0.1);
 /// Set-ups that a pacing or ramp bucket can save up.
@@ -191,7 +187,6 @@
     least_lag: Micros,
     seen_wait_s: f64,
     seen_at: Micros,
-    highest: VecDeque<(Micros, f64)>,
     filter: Option<LowPass>,
     pi: Pi,
     /// The reject fraction.
@@ -227,7 +222,6 @@
             least_lag: Micros::MAX,
             seen_wait_s: 0.0,
             seen_at: 0,
-            highest: VecDeque::new(),
             filter: None,
             pi: Pi::default(),
             alpha: 0.0,
@@ -275,16 +269,6 @@
         let told = |value: Option<f64>| value.filter(|v| v.is_finite() && *v >= 0.0);
         self.told_rate = told(report.rate);
         self.told_queue = told(report.queue);
-        if let Some(rate) = self.told_rate {
-            // A falling staircase of rates: its front is the highest within the span.
-            while self.highest.back().is_some_and(|(_, low)| *low <= rate) {
-                self.highest.pop_back();
-            }
-            self.highest.push_back((now, rate));
-            while self.highest.front().is_some_and(|(at, _)| at.saturating_add(HIGHEST_RATE_SPAN) < now) {
-                self.highest.pop_front();
-            }
-        }
     }
 
     /// Steps 1 and 2: reported load to reject fraction.
@@ -304,7 +288,6 @@
             self.pace_rate = self.arrivals.read(now);
             return;
         };
-        let highest = self.highest.front().map_or(0.0, |(_, rate)| *rate);
         let (error, gains) = match signal {
             Signal::HoldBack(share) => (share, (1.0, 0.0)),
             Signal::Wait(wait) => ((wait / TARGET_WAIT_S - 1.0).min(ERROR_MAX), WAIT_GAINS),
@@ -313,8 +296,12 @@
                 let target = (TARGET_WAIT_S * rate).max(QUEUE_FLOOR);
                 ((queue / target - 1.0).min(ERROR_MAX), WAIT_GAINS)
             }
-            Signal::Rate(rate) if highest > 0.0 => (1.0 - rate / highest - RATE_NOISE, RATE_GAINS),
-            Signal::Rate(_) => (0.0, RATE_GAINS),
+            // Against the rate asked for, not its own highest: that error is never negative, so noise alone
+            // winds it, and it is blind to a processor that was too small from the start.
+            Signal::Rate(rate) => {
+                let asked = self.arrivals.read(now) * fronts;
+                ((1.0 - rate / asked.max(rate / 2.0).max(f64::MIN_POSITIVE)), RATE_GAINS)
+            }
             Signal::Busy(busy) => (busy.min(1.0) - TARGET_BUSY, BUSY_GAINS),
         };
         // Guards against reports that lie, lag or say too little (a rate or utilisation does not tell by how
