--- a/src/policy.rs
+++ b/src/policy.rs
@@ -309,7 +309,8 @@
         let seen = self.seen_wait_s / TARGET_WAIT_S - 1.0;
         let (error, gains) = match signal {
             Signal::HoldBack(_) => (error, gains),
-            _ if now.saturating_sub(self.seen_at) > SEEN_FRESH || seen <= 0.0 => (error, gains),
+            _ if self.seen_at == 0 || now.saturating_sub(self.seen_at) > SEEN_FRESH => (error, gains),
+            Signal::Rate(_) => (seen.min(ERROR_MAX), WAIT_GAINS),
             _ if error * gains.0 >= seen.min(ERROR_MAX) * WAIT_GAINS.0 => (error, gains),
             _ => (seen.min(ERROR_MAX), WAIT_GAINS),
         };
