--- a/src/policy.rs
+++ b/src/policy.rs
@@ -311,7 +311,7 @@
             Signal::HoldBack(_) => (error, gains),
             _ if self.seen_at == 0 || now.saturating_sub(self.seen_at) > SEEN_FRESH => (error, gains),
             Signal::Rate(_) => (seen.min(ERROR_MAX), WAIT_GAINS),
-            _ if error * gains.0 >= seen.min(ERROR_MAX) * WAIT_GAINS.0 => (error, gains),
+            _ if seen <= 0.0 || error * gains.0 >= seen.min(ERROR_MAX) * WAIT_GAINS.0 => (error, gains),
             _ => (seen.min(ERROR_MAX), WAIT_GAINS),
         };
         let filter = self.filter.get_or_insert(LowPass { value: error, lag_s: LOAD_LAG_S });
