--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,13 +29,11 @@
 /// Kpc and Kic (1/s) on a rate error, a fraction of the rate that is asked for.
 const RATE_GAINS: (f64, f64) = (0.7, 0.2);
 /// A negative error unwinds the integral so much faster than a positive one winds it.
-const UNWIND: f64 = 8.0;
+const UNWIND: f64 = 3.0;
 /// A wait seen by this front itself counts for so long.
 const SEEN_FRESH: Micros = SECOND;
 /// s. Wait taken for granted at a processor that answers 'full' without naming one.
 const FULL_WAIT_S: f64 = 2.0;
-/// The loop's gains shrink with the share let through, to no less than this.
-const LEAST_GAIN: f64 = 0.1;
 /// Largest relative wait or queue error that the loop believes: one bad report must not refuse all.
 const ERROR_MAX: f64 = 4.0;
 /// Queue set-point where no rate is told: at least so many set-ups.
@@ -320,13 +318,7 @@
         let error = filter.step(error, dt_s);
         self.alpha = match signal {
             Signal::HoldBack(_) => error.clamp(0.0, 1.0),
-            _ => {
-                // Guards against swings under heavy overload: at an offered load of n times the capacity the
-                // same step of alpha moves the queue n times as fast, and what is let through is 1/n.
-                let let_through = (1.0 - self.pi.integral).max(LEAST_GAIN);
-                let gains = (gains.0 * let_through, gains.1 * let_through);
-                self.pi.step(error, dt_s, gains, (0.0, 1.0), UNWIND)
-            }
+            _ => self.pi.step(error, dt_s, gains, (0.0, 1.0), UNWIND),
         };
         // Step 4: the pace. Queue and rate belong to all fronts; this one corrects its share.
         let arrivals = self.arrivals.read(now);
