--- a/src/policy.rs
+++ b/src/policy.rs
@@ -46,7 +46,7 @@
 const ARRIVAL_LAG_S: f64 = 2.0;
 /// Kpq (1/s) and Kiq (1/s^2) of the pacing loop.
 const PACE_GAINS: (f64, f64) = (0.5, 0.1);
-/// Set-ups that a pacing or ramp bucket can save up.
+/// Set-ups that a pacing bucket can save up; a cold server's holds one.
 const BUCKET: f64 = 2.0;
 /// s. Lag of the rate that a warm server takes from this front, the measure for a cold one.
 const CARRIED_LAG_S: f64 = 10.0;
@@ -193,7 +193,6 @@
     alpha: f64,
     unanswered: u32,
     arrivals: Meter,
-    carried: Meter,
     pace: Pi,
     pace_rate: f64,
     held: VecDeque<CallId>,
@@ -227,7 +226,6 @@
             alpha: 0.0,
             unanswered: 0,
             arrivals: Meter::new(ARRIVAL_LAG_S),
-            carried: Meter::new(CARRIED_LAG_S),
             pace: Pi::default(),
             pace_rate: 0.0,
             held: VecDeque::new(),
@@ -272,7 +270,7 @@
     }
 
     /// Steps 1 and 2: reported load to reject fraction.
-    fn tick(&mut self, now: Micros, dt_s: f64, fronts: f64) {
+    fn tick(&mut self, now: Micros, dt_s: f64, fronts: f64, carried: f64) {
         let told = self.signal.filter(|_| now.saturating_sub(self.reported_at) <= STALE);
         let seen = Some(Signal::Wait(self.seen_wait_s));
         let seen = seen.filter(|_| self.seen_at > 0 && now.saturating_sub(self.seen_at) <= SEEN_FRESH);
@@ -292,7 +290,7 @@
             Signal::HoldBack(share) => (share, (1.0, 0.0)),
             Signal::Wait(wait) => ((wait / TARGET_WAIT_S - 1.0).min(ERROR_MAX), WAIT_GAINS),
             Signal::Queue(queue) => {
-                let rate = self.told_rate.unwrap_or(self.carried.read(now) * fronts);
+                let rate = self.told_rate.unwrap_or(carried * fronts);
                 let target = (TARGET_WAIT_S * rate).max(QUEUE_FLOOR);
                 ((queue / target - 1.0).min(ERROR_MAX), WAIT_GAINS)
             }
@@ -330,9 +328,9 @@
         }
     }
 
-    fn fill(&mut self, now: Micros, rate: f64) {
+    fn fill(&mut self, now: Micros, rate: f64, most: f64) {
         let dt_s = seconds(now.saturating_sub(self.bucket_at));
-        self.bucket = (self.bucket + rate * dt_s).min(BUCKET);
+        self.bucket = (self.bucket + rate * dt_s).min(most);
         self.bucket_at = now;
     }
 
@@ -379,6 +377,8 @@
     unanswered: BTreeMap<(CallId, u16), ServerId>,
     tenants: Vec<Meter>,
     arrivals: Meter,
+    /// Set-ups a second that stood at warm servers, by number: as of the last one, so a pause keeps it.
+    carried: BTreeMap<u16, Meter>,
     recent: VecDeque<(f64, u64)>,
     ticked_at: Option<Micros>,
     logged_at: Option<Micros>,
@@ -417,6 +417,7 @@
             unanswered: BTreeMap::new(),
             tenants: settings.tenants.iter().map(|_| Meter::new(TENANT_LAG_S)).collect(),
             arrivals: Meter::new(ARRIVAL_LAG_S),
+            carried: BTreeMap::new(),
             recent: VecDeque::new(),
             ticked_at: None,
             logged_at: None,
@@ -443,7 +444,10 @@
                 if let Some(server) = self.servers.get_mut(&server) {
                     server.proven();
                     server.see_lag(now, lag);
-                    server.carried.count(now);
+                    if !server.is_cold(now, self.settings.ramp_time) {
+                        let fresh = Meter::new(CARRIED_LAG_S);
+                        self.carried.entry(server.number).or_insert(fresh).count(now);
+                    }
                 }
             }
             Event::Ended { call, attempt, server, outcome, lag, complete, note, report } => {
@@ -491,7 +495,8 @@
         let probing = self.settings.reports == ReportPath::Probes && self.settings.may_probe;
         let mut due = Vec::new();
         for (id, server) in &mut self.servers {
-            server.tick(now, dt_s, f64::from(self.settings.fronts));
+            let carried = self.carried.get(&server.number).map_or(0.0, |meter| meter.rate);
+            server.tick(now, dt_s, f64::from(self.settings.fronts), carried);
             let listed = server.state == ServerState::Ready;
             if probing && listed && now >= server.probed_at.saturating_add(PROBE_EVERY) {
                 server.probed_at = now;
@@ -633,16 +638,19 @@
         ((self.chance() * below as f64) as usize).min(below.saturating_sub(1))
     }
 
-    /// Set-ups a second that this front may send to a cold server: its own share of what a warm one takes,
-    /// so that the fronts together keep to what the server can do, whoever has how much of the traffic.
-    fn ramp_rate(&self, now: Micros, since: Micros) -> f64 {
-        let ramp = self.settings.ramp_time;
-        let warm = self.servers.values().filter(|s| !s.is_cold(now, ramp));
-        let carried = warm.map(|s| s.carried.read(now)).fold(0.0, f64::max);
+    /// Set-ups a second that this front may send to a cold server: its own share of what the server's number
+    /// took while warm (servers differ a hundredfold, so others are no guide while this is known), so that the
+    /// fronts together keep to what it can do, whoever has how much of the traffic. A told rate says it at once.
+    fn ramp_rate(&self, now: Micros, server: &Server) -> f64 {
+        if let Some(rate) = server.told_rate.filter(|_| now.saturating_sub(server.reported_at) <= STALE) {
+            return rate * RAMP_SHARE / f64::from(self.settings.fronts);
+        }
+        let least = self.carried.values().map(|m| m.rate).fold(f64::INFINITY, f64::min);
         let own = self.arrivals.read(now) / self.servers.len().max(1) as f64;
-        let full = if carried > 0.0 { carried } else { own };
-        let age = seconds(now.saturating_sub(since)) / seconds(ramp.max(1));
-        let warmth = self.settings.cold_from + (1.0 - self.settings.cold_from) * age.min(1.0);
+        let full = self.carried.get(&server.number).map_or(least.min(own), |meter| meter.rate);
+        let age = seconds(now.saturating_sub(server.cold_since.unwrap_or(now)));
+        let warmth = age / seconds(self.settings.ramp_time.max(1));
+        let warmth = self.settings.cold_from + (1.0 - self.settings.cold_from) * warmth.min(1.0);
         full * warmth * RAMP_SHARE * (self.settings.fall_multiple / 2.0).min(1.0)
     }
 
@@ -651,10 +659,9 @@
         let ramp = self.settings.ramp_time;
         let cold: Vec<_> = self.servers.iter().filter(|(_, s)| s.is_cold(now, ramp)).map(|(id, _)| *id).collect();
         for id in cold {
-            let since = self.servers.get(&id).and_then(|s| s.cold_since).unwrap_or(now);
-            let rate = self.ramp_rate(now, since);
+            let rate = self.servers.get(&id).map_or(0.0, |server| self.ramp_rate(now, server));
             if let Some(server) = self.servers.get_mut(&id) {
-                server.fill(now, rate);
+                server.fill(now, rate, 1.0);
             }
         }
         let Some(pending) = self.calls.get(&id) else { return Vec::new() };
@@ -744,7 +751,7 @@
             let Some(server) = self.servers.get_mut(&id) else { return };
             let rate = server.pace_rate.max(server.arrivals.read(now) * f64::from(u8::from(!server.paced())));
             if !server.is_cold(now, ramp) {
-                server.fill(now, rate);
+                server.fill(now, rate, BUCKET);
             }
             let Some(call) = server.held.front().copied() else { return };
             let held = self.calls.get_mut(&call).filter(|p| p.held_at == Some(id));
