--- a/src/bin/baydrift-wirehost/host.rs
+++ b/src/bin/baydrift-wirehost/host.rs
@@ -77,7 +77,13 @@
 
 impl Host {
     /// Takes one batch; appends the reply's records and returns their count.
-    pub fn batch(&mut self, header: &Header, body: &[u8], frame: u64, reply: &mut Vec<u8>) -> Result<u32, WireError> {
+    pub fn batch(
+        &mut self,
+        header: &Header,
+        body: &[u8],
+        frame: u64,
+        reply: &mut Vec<u8>,
+    ) -> Result<u32, WireError> {
         let now = config::micros(header.clock);
         let mut fields = Fields::new(body, frame);
         let mut written = 0;
--- a/src/bin/baydrift-wirehost/wire.rs
+++ b/src/bin/baydrift-wirehost/wire.rs
@@ -33,7 +33,11 @@
 }
 
 /// Reads one frame; `None` when input ends at a frame's edge.
-pub fn read_frame(input: &mut impl Read, body: &mut Vec<u8>, frame: u64) -> Result<Option<Header>, WireError> {
+pub fn read_frame(
+    input: &mut impl Read,
+    body: &mut Vec<u8>,
+    frame: u64,
+) -> Result<Option<Header>, WireError> {
     let mut head = [0u8; 16];
     let mut got = 0;
     while got < head.len() {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -96,6 +96,35 @@
     pub fall_time: Micros,
 }
 
+impl Settings {
+    /// Whether the figures are such that a controller can work with them.
+    ///
+    /// # Errors
+    /// Names the first figure that is out of its range.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let sane = |v: f64| v.is_finite() && v >= 0.0;
+        let counts = [
+            ("fronts", self.fronts as usize),
+            ("classes", self.classes.len()),
+            ("max attempts", self.max_attempts as usize),
+        ];
+        if let Some((what, _)) = counts.iter().find(|(_, count)| *count == 0) {
+            return Err(SettingsError::Zero(what));
+        }
+        let ranges = [
+            ("a class's worth", self.classes.iter().all(|c| sane(c.worth) && sane(c.late_worth))),
+            ("a customer's quota", self.tenants.iter().all(|t| sane(t.quota_per_s))),
+            ("the worth over a share", sane(self.over_share_worth)),
+            ("the cold start's fraction", (0.0..=1.0).contains(&self.cold_from)),
+            ("the cold start's multiple", sane(self.fall_multiple)),
+        ];
+        match ranges.iter().find(|(_, good)| !good) {
+            Some((what, _)) => Err(SettingsError::OutOfRange(what)),
+            None => Ok(()),
+        }
+    }
+}
+
 /// Why settings cannot be used.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SettingsError {
@@ -117,9 +146,10 @@
 impl std::error::Error for SettingsError {}
 
 /// A server's state as the list tells it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum ServerState {
     /// Takes calls.
+    #[default]
     Ready,
     /// Finishes what it has; nothing new goes there.
     Draining,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -104,24 +104,19 @@
 }
 
 /// Rate of events a second, lagged.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 struct Meter {
     rate: f64,
     at: Micros,
-    lag_s: f64,
 }
 
 impl Meter {
-    fn new(lag_s: f64) -> Self {
-        Self { rate: 0.0, at: 0, lag_s }
-    }
-
-    fn read(&self, now: Micros) -> f64 {
-        self.rate * (-seconds(now.saturating_sub(self.at)) / self.lag_s).exp()
+    fn read(&self, now: Micros, lag_s: f64) -> f64 {
+        self.rate * (-seconds(now.saturating_sub(self.at)) / lag_s).exp()
     }
 
-    fn count(&mut self, now: Micros) {
-        self.rate = self.read(now) + 1.0 / self.lag_s;
+    fn count(&mut self, now: Micros, lag_s: f64) {
+        self.rate = self.read(now, lag_s) + 1.0 / lag_s;
         self.at = now;
     }
 }
@@ -171,7 +166,7 @@
 }
 
 /// What this front knows of one server.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Server {
     number: u16,
     state: ServerState,
@@ -213,29 +208,10 @@
             state: entry.state,
             started_at: entry.started_at,
             cold_since: entry.started_at,
-            free: None,
-            signal: None,
-            told_rate: None,
-            told_queue: None,
-            reported_at: 0,
             least_lag: Micros::MAX,
-            seen_wait_s: 0.0,
-            seen_at: 0,
-            filter: None,
-            pi: Pi::default(),
-            alpha: 0.0,
-            unanswered: 0,
-            arrivals: Meter::new(ARRIVAL_LAG_S),
-            pace: Pi::default(),
-            pace_rate: 0.0,
-            held: VecDeque::new(),
-            bucket: 0.0,
             bucket_at: now,
-            timeouts: 0,
             pause: SUSPEND.0,
-            suspended_until: 0,
-            on_trial: false,
-            probed_at: 0,
+            ..Self::default()
         }
     }
 
@@ -283,7 +259,7 @@
             }
             self.alpha = self.pi.integral.min(self.alpha);
             self.filter = None;
-            self.pace_rate = self.arrivals.read(now);
+            self.pace_rate = self.arrivals.read(now, ARRIVAL_LAG_S);
             return;
         };
         let (error, gains) = match signal {
@@ -297,7 +273,7 @@
             // Against the rate asked for, not its own highest: that error is never negative, so noise alone
             // winds it, and it is blind to a processor that was too small from the start.
             Signal::Rate(rate) => {
-                let asked = self.arrivals.read(now) * fronts;
+                let asked = self.arrivals.read(now, ARRIVAL_LAG_S) * fronts;
                 ((1.0 - rate / asked.max(rate / 2.0).max(f64::MIN_POSITIVE)), RATE_GAINS)
             }
             Signal::Busy(busy) => (busy.min(1.0) - TARGET_BUSY, BUSY_GAINS),
@@ -319,7 +295,7 @@
             _ => self.pi.step(error, dt_s, gains, (0.0, 1.0), UNWIND),
         };
         // Step 4: the pace. Queue and rate belong to all fronts; this one corrects its share.
-        let arrivals = self.arrivals.read(now);
+        let arrivals = self.arrivals.read(now, ARRIVAL_LAG_S);
         if let (Some(rate), Some(queue)) = (self.told_rate, self.told_queue) {
             let error = (TARGET_WAIT_S * rate - queue) / fronts;
             let span = (-arrivals, rate);
@@ -391,32 +367,14 @@
     /// # Errors
     /// When the settings hold a figure that nothing sensible can be done with.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
-        let sane = |v: f64| v.is_finite() && v >= 0.0;
-        if settings.fronts == 0 {
-            return Err(SettingsError::Zero("fronts"));
-        }
-        if settings.classes.is_empty() {
-            return Err(SettingsError::Zero("classes"));
-        }
-        if settings.max_attempts == 0 {
-            return Err(SettingsError::Zero("max attempts"));
-        }
-        if !settings.classes.iter().all(|c| sane(c.worth) && sane(c.late_worth)) {
-            return Err(SettingsError::OutOfRange("a class's worth"));
-        }
-        if !settings.tenants.iter().all(|t| sane(t.quota_per_s)) || !sane(settings.over_share_worth) {
-            return Err(SettingsError::OutOfRange("a customer's share"));
-        }
-        if !(0.0..=1.0).contains(&settings.cold_from) || !sane(settings.fall_multiple) {
-            return Err(SettingsError::OutOfRange("the cold start's figures"));
-        }
+        settings.check()?;
         Ok(Self {
             rng: Pcg64Mcg::seed_from_u64(seed),
             servers: BTreeMap::new(),
             calls: BTreeMap::new(),
             unanswered: BTreeMap::new(),
-            tenants: settings.tenants.iter().map(|_| Meter::new(TENANT_LAG_S)).collect(),
-            arrivals: Meter::new(ARRIVAL_LAG_S),
+            tenants: vec![Meter::default(); settings.tenants.len()],
+            arrivals: Meter::default(),
             carried: BTreeMap::new(),
             recent: VecDeque::new(),
             ticked_at: None,
@@ -445,14 +403,16 @@
                     server.proven();
                     server.see_lag(now, lag);
                     if !server.is_cold(now, self.settings.ramp_time) {
-                        let fresh = Meter::new(CARRIED_LAG_S);
-                        self.carried.entry(server.number).or_insert(fresh).count(now);
+                        self.carried.entry(server.number).or_default().count(now, CARRIED_LAG_S);
                     }
                 }
             }
             Event::Ended { call, attempt, server, outcome, lag, complete, note, report } => {
                 self.answered(call, attempt);
-                self.attempt_ended(now, server, outcome, lag, note, &report, actions);
+                if let Some(server) = self.servers.get_mut(&server) {
+                    server.note_report(now, &report);
+                }
+                self.attempt_ended(now, server, (outcome, lag, note), actions);
                 let ours = self.calls.get(&call).is_some_and(|p| p.out == Some((attempt, server)));
                 if complete {
                     self.calls.remove(&call);
@@ -569,7 +529,7 @@
         if self.calls.contains_key(&id) {
             return;
         }
-        self.arrivals.count(now);
+        self.arrivals.count(now, ARRIVAL_LAG_S);
         let Some(class) = self.settings.classes.get(call.class) else {
             actions.push(Action::Refuse { call: id, retry_after: 0 });
             return;
@@ -603,8 +563,8 @@
     fn worth_of(&mut self, now: Micros, call: &Call) -> f64 {
         let mut worth = self.settings.classes.get(call.class).map_or(0.0, |class| class.worth);
         if let Some(meter) = self.tenants.get_mut(call.tenant) {
-            meter.count(now);
-            let rate = meter.read(now) * f64::from(self.settings.fronts);
+            meter.count(now, TENANT_LAG_S);
+            let rate = meter.read(now, TENANT_LAG_S) * f64::from(self.settings.fronts);
             let quota = self.settings.tenants.get(call.tenant).map_or(rate, |t| t.quota_per_s);
             if rate > quota {
                 let mean = (quota + self.settings.over_share_worth * (rate - quota)) / rate;
@@ -646,7 +606,7 @@
             return rate * RAMP_SHARE / f64::from(self.settings.fronts);
         }
         let least = self.carried.values().map(|m| m.rate).fold(f64::INFINITY, f64::min);
-        let own = self.arrivals.read(now) / self.servers.len().max(1) as f64;
+        let own = self.arrivals.read(now, ARRIVAL_LAG_S) / self.servers.len().max(1) as f64;
         let full = self.carried.get(&server.number).map_or(least.min(own), |meter| meter.rate);
         let age = seconds(now.saturating_sub(server.cold_since.unwrap_or(now)));
         let warmth = age / seconds(self.settings.ramp_time.max(1));
@@ -657,7 +617,8 @@
     /// Servers that may take the call now.
     fn allowed(&mut self, now: Micros, id: CallId) -> Vec<ServerId> {
         let ramp = self.settings.ramp_time;
-        let cold: Vec<_> = self.servers.iter().filter(|(_, s)| s.is_cold(now, ramp)).map(|(id, _)| *id).collect();
+        let cold: Vec<_> =
+            self.servers.iter().filter(|(_, s)| s.is_cold(now, ramp)).map(|(id, _)| *id).collect();
         for id in cold {
             let rate = self.servers.get(&id).map_or(0.0, |server| self.ramp_rate(now, server));
             if let Some(server) = self.servers.get_mut(&id) {
@@ -716,7 +677,7 @@
             return self.turn_away(id, actions);
         };
         let Some(server) = self.servers.get_mut(&choice) else { return };
-        server.arrivals.count(now);
+        server.arrivals.count(now, ARRIVAL_LAG_S);
         let (alpha, paced) = (server.alpha, server.paced());
         // Step 3. Later attempts draw as well: the processor does not care which attempt loads it.
         let refusal = self.refusal(alpha, worth);
@@ -749,7 +710,9 @@
         let ramp = self.settings.ramp_time;
         loop {
             let Some(server) = self.servers.get_mut(&id) else { return };
-            let rate = server.pace_rate.max(server.arrivals.read(now) * f64::from(u8::from(!server.paced())));
+            let rate = server
+                .pace_rate
+                .max(server.arrivals.read(now, ARRIVAL_LAG_S) * f64::from(u8::from(!server.paced())));
             if !server.is_cold(now, ramp) {
                 server.fill(now, rate, BUCKET);
             }
@@ -808,9 +771,15 @@
     }
 
     /// What an attempt's end says of its server.
-    fn attempt_ended(&mut self, now: Micros, id: ServerId, outcome: Outcome, lag: Micros, note: Note, report: &Report, actions: &mut Vec<Action>) {
+    fn attempt_ended(
+        &mut self,
+        now: Micros,
+        id: ServerId,
+        how: (Outcome, Micros, Note),
+        actions: &mut Vec<Action>,
+    ) {
+        let (outcome, lag, note) = how;
         let Some(server) = self.servers.get_mut(&id) else { return };
-        server.note_report(now, report);
         if note == Note::NoLine {
             server.free = Some(0.0);
         }
@@ -842,7 +811,14 @@
     }
 
     /// What becomes of a call whose attempt failed.
-    fn after_failure(&mut self, now: Micros, id: CallId, outcome: Outcome, note: Note, actions: &mut Vec<Action>) {
+    fn after_failure(
+        &mut self,
+        now: Micros,
+        id: CallId,
+        outcome: Outcome,
+        note: Note,
+        actions: &mut Vec<Action>,
+    ) {
         let guard = self.settings.release_guard;
         let Some(pending) = self.calls.get_mut(&id) else { return };
         pending.out = None;
@@ -892,7 +868,9 @@
                     self.turn_away(id, actions);
                 }
             }
-            TOKEN_RESEND if now >= pending.not_before && pending.out.is_none() && pending.held_at.is_none() => {
+            TOKEN_RESEND
+                if now >= pending.not_before && pending.out.is_none() && pending.held_at.is_none() =>
+            {
                 self.place(now, id, actions);
             }
             _ => {}
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,181 @@
+//! One test for each failure found in measured rounds and incidents.
+
+mod common;
+use baydrift::interface::*;
+use common::*;
+
+#[test]
+fn a_server_out_of_lines_is_left_alone_until_it_tells_of_lines() {
+    // Incident i6ccf25: hundreds of set-ups a second to a server that answered 'no line'.
+    let mut front = Front::with(settings(), &[line(10, 0)]);
+    let (id, _) = front.call();
+    assert!(is_refused(&front.ended(id, 0, 10, Outcome::Full, Note::NoLine)));
+    assert!((0..50).all(|_| sent(&front.call().1).is_none()));
+    front.report(10, Report { free: Some(3.0), lines: Some(60.0), ..Report::default() });
+    // Three told to both fronts alike: two for this one at the most.
+    let n = (0..10).filter(|_| sent(&front.call().1).is_some()).count();
+    assert_eq!(n, 2);
+}
+
+#[test]
+fn full_answers_raise_the_reject_fraction_whatever_the_reports_say() {
+    // Incident i75b648 and litoral rules-3: a processor answers 'full' while its reports look fine.
+    let mut front = Front::with(settings(), &[line(10, 0)]);
+    for _ in 0..20 {
+        front.report(10, Report { busy: Some(0.3), ..Report::default() });
+        let (id, actions) = front.call();
+        if sent(&actions).is_some() {
+            front.ended(id, 0, 10, Outcome::Full, Note::ProcessorFull(0));
+        }
+        front.pass(200 * MS);
+    }
+    let share = front.refused_share(100, 0);
+    assert!(share > 0.5, "{share}");
+}
+
+#[test]
+fn set_up_times_seen_here_outweigh_a_report_that_lies() {
+    let mut front = Front::with(settings(), &[line(10, 0)]);
+    let (id, _) = front.call();
+    front.stands(id, 10, 20 * MS);
+    for _ in 0..20 {
+        front.report(10, Report { wait_s: Some(0.0), ..Report::default() });
+        let (id, actions) = front.call();
+        if sent(&actions).is_some() {
+            front.stands(id, 10, 1_500 * MS);
+        }
+        front.pass(200 * MS);
+    }
+    let (_, actions) = front.call();
+    let share = front.refused_share(50, 0) + f64::from(u8::from(is_refused(&actions)));
+    assert!(share > 0.3, "{share}");
+}
+
+#[test]
+fn a_call_refused_by_a_pressed_server_goes_to_one_that_refuses_nothing() {
+    // Litoral big-1: 17% refused while another processor idled.
+    let mut front = Front::with(settings(), &[line(10, 0), line(11, 1)]);
+    for _ in 0..10 {
+        front.report(10, Report { hold_back: Some(1.0), ..Report::default() });
+        front.report(11, Report { hold_back: Some(0.0), ..Report::default() });
+        front.pass(100 * MS);
+    }
+    for _ in 0..50 {
+        assert_eq!(sent(&front.call().1).map(|s| s.0), Some(11));
+    }
+}
+
+#[test]
+fn alpha_falls_over_time_when_reports_stop() {
+    // At a high reject fraction nothing is sent, so nothing is answered: the loop must not freeze.
+    let mut front = Front::with(settings(), &[line(10, 0)]);
+    for _ in 0..80 {
+        front.report(10, Report { wait_s: Some(3.0), ..Report::default() });
+        front.pass(100 * MS);
+    }
+    let mut shares = vec![front.refused_share(200, 0)];
+    for _ in 0..4 {
+        front.pass(2 * S);
+        shares.push(front.controller_share());
+    }
+    assert!(shares[0] > 0.9, "{shares:?}");
+    assert!(shares.windows(2).all(|w| w[1] <= w[0] + 0.1), "it only falls: {shares:?}");
+    assert!(shares[4] < 0.2, "{shares:?}");
+}
+
+impl Front {
+    /// Refused share without answers: calls are abandoned, so that nothing is learnt from them.
+    fn controller_share(&mut self) -> f64 {
+        let mut refused = 0;
+        for _ in 0..200 {
+            let (id, actions) = self.call();
+            refused += u32::from(is_refused(&actions));
+            self.event(Event::Abandoned(id));
+        }
+        f64::from(refused) / 200.0
+    }
+}
+
+#[test]
+fn alpha_follows_a_surge_up_and_down() {
+    let mut front = Front::with(settings(), &[line(10, 0)]);
+    let told = |front: &mut Front, wait_s: f64, seconds: u64| {
+        for _ in 0..seconds * 5 {
+            front.report(10, Report { wait_s: Some(wait_s), ..Report::default() });
+            front.pass(200 * MS);
+        }
+        front.controller_share()
+    };
+    let before = told(&mut front, 0.1, 2);
+    let rising = told(&mut front, 1.2, 2);
+    let high = told(&mut front, 1.2, 4);
+    let falling = told(&mut front, 0.0, 2);
+    let after = told(&mut front, 0.0, 4);
+    assert!(before == 0.0 && rising > 0.3 && high > rising, "{before} {rising} {high}");
+    assert!(falling < high - 0.3 && after == 0.0, "{falling} {after}");
+}
+
+#[test]
+fn calls_of_high_worth_are_refused_last_and_the_mean_stays_alpha() {
+    let mut front = Front::with(settings(), &[line(10, 0)]);
+    let (mut refused, mut n) = ([0u32; 2], [0u32; 2]);
+    for i in 0..3000usize {
+        if i % 20 == 0 {
+            front.report(10, Report { hold_back: Some(0.4), ..Report::default() });
+            front.pass(50 * MS);
+        }
+        let class = usize::from(i % 10 == 0);
+        let (id, actions) = front.call_with(|call| call.class = class);
+        n[class] += 1;
+        refused[class] += u32::from(is_refused(&actions));
+        front.event(Event::Abandoned(id));
+    }
+    assert_eq!(refused[1], 0, "a tenth of the calls is worth eight times as much");
+    let mean = f64::from(refused[0]) / f64::from(n[0] + n[1]);
+    assert!((mean - 0.4).abs() < 0.05, "{mean}");
+}
+
+#[test]
+fn calls_to_a_flooded_number_are_refused_before_others() {
+    let mut front = Front::with(settings(), &[line(10, 0)]);
+    let (mut hot, mut cool) = (0, 0);
+    for i in 0..1000u64 {
+        if i % 20 == 0 {
+            front.report(10, Report { hold_back: Some(0.2), ..Report::default() });
+            front.pass(50 * MS);
+        }
+        let number = if i % 4 == 0 { 777 } else { 100_000 + i };
+        let (id, actions) = front.call_with(|call| call.number = number);
+        if is_refused(&actions) && i > 200 {
+            *if number == 777 { &mut hot } else { &mut cool } += 1;
+        }
+        front.event(Event::Abandoned(id));
+    }
+    assert!(hot > 100 && cool < 20, "{hot} hot, {cool} others");
+}
+
+#[test]
+fn a_dead_server_is_tried_rarely_and_used_again_once_it_answers() {
+    let mut front = Front::with(settings(), &[line(10, 0), line(11, 1)]);
+    let mut tries = 0;
+    for _ in 0..500 {
+        let (id, actions) = front.call();
+        if sent(&actions).map(|s| s.0) == Some(10) {
+            tries += 1;
+            front.ended(id, 0, 10, Outcome::ConnectFailed, Note::None);
+        }
+        front.event(Event::Abandoned(id));
+        front.pass(20 * MS);
+    }
+    assert!((2..=8).contains(&tries), "{tries} tries in 10 s");
+    let mut stood = 0;
+    for _ in 0..1500 {
+        let (id, actions) = front.call();
+        if let Some((server, _)) = sent(&actions) {
+            front.stands(id, server, 20 * MS);
+            stood += u32::from(server == 10);
+        }
+        front.now += 10 * MS;
+    }
+    assert!(stood > 300, "{stood}");
+}
