--- a/src/policy.rs
+++ b/src/policy.rs
@@ -46,12 +46,14 @@
 const ARRIVAL_LAG_S: f64 = 2.0;
 /// Kpq (1/s) and Kiq (1/s^2) of the pacing loop.
 const PACE_GAINS: (f64, f64) = (0.5, 0.1);
-/// Set-ups that a pacing bucket can save up; a cold server's holds one.
+/// Set-ups that a pacing bucket can save up.
 const BUCKET: f64 = 2.0;
 /// s. Lag of the rate that a warm server takes from this front, the measure for a cold one.
 const CARRIED_LAG_S: f64 = 10.0;
-/// A cold server gets this share of what it should be able to do.
-const RAMP_SHARE: f64 = 0.9;
+/// A cold server gets this share of what would push it over: room for uneven fronts, and its loop holds it.
+const RAMP_SHARE: f64 = 0.5;
+/// s. A cold server's bucket saves up one set-up and as many as fall due in this time.
+const RAMP_BURST_S: f64 = 0.3;
 /// Calls that the order of worth and the share of a number are judged on.
 const RECENT_CALLS: usize = 200;
 /// A number dialled by so many of the recent calls is in a flood.
@@ -599,11 +601,11 @@
     }
 
     /// Set-ups a second that this front may send to a cold server: its own share of what the server's number
-    /// took while warm (servers differ a hundredfold, so others are no guide while this is known), so that the
-    /// fronts together keep to what it can do, whoever has how much of the traffic. A told rate says it at once.
+    /// took while warm (servers differ a hundredfold, others are no guide), so that the
+    /// fronts together keep to what it can do, whoever has how much of the traffic. A told rate is best.
     fn ramp_rate(&self, now: Micros, server: &Server) -> f64 {
         if let Some(rate) = server.told_rate.filter(|_| now.saturating_sub(server.reported_at) <= STALE) {
-            return rate * RAMP_SHARE / f64::from(self.settings.fronts);
+            return rate * self.settings.fall_multiple * RAMP_SHARE / f64::from(self.settings.fronts);
         }
         let least = self.carried.values().map(|m| m.rate).fold(f64::INFINITY, f64::min);
         let own = self.arrivals.read(now, ARRIVAL_LAG_S) / self.servers.len().max(1) as f64;
@@ -611,7 +613,7 @@
         let age = seconds(now.saturating_sub(server.cold_since.unwrap_or(now)));
         let warmth = age / seconds(self.settings.ramp_time.max(1));
         let warmth = self.settings.cold_from + (1.0 - self.settings.cold_from) * warmth.min(1.0);
-        full * warmth * RAMP_SHARE * (self.settings.fall_multiple / 2.0).min(1.0)
+        full * warmth * self.settings.fall_multiple * RAMP_SHARE
     }
 
     /// Servers that may take the call now.
@@ -622,7 +624,7 @@
         for id in cold {
             let rate = self.servers.get(&id).map_or(0.0, |server| self.ramp_rate(now, server));
             if let Some(server) = self.servers.get_mut(&id) {
-                server.fill(now, rate, 1.0);
+                server.fill(now, rate, 1.0 + rate * RAMP_BURST_S);
             }
         }
         let Some(pending) = self.calls.get(&id) else { return Vec::new() };
