--- a/src/bin/baydrift-wirehost/config.rs
+++ b/src/bin/baydrift-wirehost/config.rs
@@ -28,6 +28,8 @@
     late_value: f64,
     slo_s: f64,
     #[serde(default)]
+    hard_limit_s: f64,
+    #[serde(default)]
     window_s: f64,
     worth: f64,
 }
@@ -74,6 +76,12 @@
     ramp_time_s: f64,
 }
 
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct RawClients {
+    marks_retry: bool,
+}
+
 #[derive(Deserialize, Default)]
 #[serde(default)]
 struct RawStats {
@@ -87,6 +95,8 @@
     balancers: u32,
     classes: Vec<RawClass>,
     #[serde(default)]
+    clients: RawClients,
+    #[serde(default)]
     discovery: String,
     #[serde(default)]
     family_info: RawFamily,
@@ -100,13 +110,21 @@
     tenants: Vec<RawTenant>,
 }
 
+/// How this site words its records.
+pub struct Wording {
+    /// Load report values by place.
+    pub fields: Vec<Field>,
+    /// Callers mark that they dial again.
+    pub marks_redials: bool,
+}
+
 /// Seconds to whole microseconds; what is negative or not finite becomes 0.
 pub fn micros(seconds: f64) -> u64 {
     (seconds * 1e6).round() as u64
 }
 
-/// Reads the settings and the order of report values.
-pub fn read(text: &[u8]) -> Result<(Settings, Vec<Field>), String> {
+/// Reads the settings and the site's wording.
+pub fn read(text: &[u8]) -> Result<(Settings, Wording), String> {
     let raw: Raw = serde_json::from_slice(text).map_err(|e| format!("unusable settings: {e}"))?;
     let fields = raw.stats.fields.iter().map(|name| match name.as_str() {
         "idle" => Field::Free,
@@ -125,6 +143,7 @@
         worth: class.worth,
         late_worth: class.late_value,
         aim: micros(class.slo_s),
+        deadline: micros(class.hard_limit_s),
         repeat: match (class.effect.as_str(), class.group.as_str()) {
             ("dedup", "all") => Repeat::Within(micros(class.window_s)),
             ("dedup" | "fragile", _) => Repeat::Never,
@@ -164,5 +183,5 @@
         fall_multiple: raw.rules.fall_multiple,
         fall_time: micros(raw.rules.fall_s),
     };
-    Ok((settings, fields))
+    Ok((settings, Wording { fields, marks_redials: raw.clients.marks_retry }))
 }
--- a/src/bin/baydrift-wirehost/host.rs
+++ b/src/bin/baydrift-wirehost/host.rs
@@ -6,13 +6,13 @@
 use baydrift::interface::{Action, Call, Entry, Event, ListKind, Note, Outcome, Report, ServerState};
 use baydrift::Controller;
 
-use crate::config::{self, Field};
+use crate::config::{self, Field, Wording};
 use crate::wire::{put_server, Fields, Header, WireError};
 
-/// One front's controller and the order of its report values.
+/// One front's controller and its site's wording.
 struct Instance {
     controller: Controller,
-    fields: Vec<Field>,
+    wording: Wording,
 }
 
 /// All instances of the process, and the lists that records refer to.
@@ -120,7 +120,8 @@
             }
             _ => {}
         }
-        let order = self.instances.get(&front).map_or(&[][..], |i| &i.fields);
+        let order = self.instances.get(&front).map_or(&[][..], |i| &i.wording.fields);
+        let marks = self.instances.get(&front).is_some_and(|i| i.wording.marks_redials);
         let event = match code {
             1010 => {
                 let mode = fields.u8("mode")?;
@@ -139,7 +140,7 @@
                 };
                 Event::List(kind, entries)
             }
-            1020 => inbound(fields)?,
+            1020 => inbound(fields, marks)?,
             1030 => Event::Stands {
                 call: fields.u32("rid")?,
                 attempt: fields.u16("go")?,
@@ -201,9 +202,9 @@
         let seed = fields.u64("rng-seed")?;
         let size = fields.u32("config size")? as usize;
         let text = fields.take(size, "config")?;
-        let (settings, order) = config::read(text).map_err(|e| fields.error(e))?;
+        let (settings, wording) = config::read(text).map_err(|e| fields.error(e))?;
         let controller = Controller::new(settings, seed).map_err(|e| fields.error(e.to_string()))?;
-        self.instances.insert(front, Instance { controller, fields: order });
+        self.instances.insert(front, Instance { controller, wording });
         Ok(())
     }
 }
@@ -223,7 +224,7 @@
     Ok(Entry { server, number, state, started_at: (started > 0.0).then(|| config::micros(started)) })
 }
 
-fn inbound(fields: &mut Fields) -> Result<Event, WireError> {
+fn inbound(fields: &mut Fields, marks: bool) -> Result<Event, WireError> {
     let id = fields.u32("rid")?;
     let class = usize::from(fields.u16("type")?);
     let tenant = usize::from(fields.u16("party")?);
@@ -241,6 +242,7 @@
         number,
         gives_up_in,
         first_choice,
+        redial: marks.then_some(bits & 2 != 0),
         in_transit: bits & 8 != 0,
         was_cut: bits & 16 != 0,
     }))
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -31,6 +31,8 @@
     pub late_worth: f64,
     /// The call is wanted to stand within this time.
     pub aim: Micros,
+    /// Its caller keeps trying for so long, counted from the first try.
+    pub deadline: Micros,
     /// What repeats do.
     pub repeat: Repeat,
     /// Numbers of the servers that may take the class; `None` means any.
@@ -237,7 +239,7 @@
 }
 
 /// A call as it is handed to the front.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Call {
     /// Its id.
     pub id: CallId,
@@ -251,6 +253,8 @@
     pub gives_up_in: Micros,
     /// Number of the server of first choice, or of the destination.
     pub first_choice: Option<u16>,
+    /// Whether it is dialled again, where callers mark that.
+    pub redial: Option<bool>,
     /// In transit: only its destination may take it.
     pub in_transit: bool,
     /// It stood, was cut and comes again.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,7 +12,7 @@
 //! let settings = Settings {
 //!     fronts: 2,
 //!     own_number: None,
-//!     classes: vec![Class { worth: 1.0, late_worth: 0.2, aim: 2_000_000, repeat: Repeat::Safe, servers: None }],
+//!     classes: vec![Class { worth: 1.0, late_worth: 0.2, aim: 2_000_000, deadline: 9_000_000, repeat: Repeat::Safe, servers: None }],
 //!     tenants: vec![],
 //!     over_share_worth: 1.0,
 //!     max_attempts: 4,
@@ -42,6 +42,7 @@
 //!     number: 555_0100,
 //!     gives_up_in: 3_000_000,
 //!     first_choice: Some(1),
+//!     redial: None,
 //!     in_transit: false,
 //!     was_cut: false,
 //! };
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -255,6 +255,7 @@
 
     /// Steps 1 and 2: reported load to reject fraction.
     fn tick(&mut self, now: Micros, dt_s: f64, fronts: f64, carried: f64) {
+        let asked = self.arrivals.read(now, ARRIVAL_LAG_S);
         let told = self.signal.filter(|_| now.saturating_sub(self.reported_at) <= STALE);
         let seen = Some(Signal::Wait(self.seen_wait_s));
         let seen = seen.filter(|_| self.seen_at > 0 && now.saturating_sub(self.seen_at) <= SEEN_FRESH);
@@ -267,7 +268,7 @@
             }
             self.alpha = self.pi.integral.min(self.alpha);
             self.filter = None;
-            self.pace_rate = self.arrivals.read(now, ARRIVAL_LAG_S);
+            self.pace_rate = asked;
             return;
         };
         let (error, gains) = match signal {
@@ -280,10 +281,7 @@
             }
             // Against the rate asked for, not its own highest: that error is never negative, so noise alone
             // winds it, and it is blind to a processor that was too small from the start.
-            Signal::Rate(rate) => {
-                let asked = self.arrivals.read(now, ARRIVAL_LAG_S) * fronts;
-                ((1.0 - rate / asked.max(rate / 2.0).max(f64::MIN_POSITIVE)), RATE_GAINS)
-            }
+            Signal::Rate(rate) => (1.0 - rate / (asked * fronts).max(rate / 2.0).max(0.01), RATE_GAINS),
             Signal::Busy(busy) => (busy.min(1.0) - TARGET_BUSY, BUSY_GAINS),
         };
         // Guards against reports that lie, lag or say too little (a rate or utilisation does not tell by how
@@ -308,18 +306,15 @@
         if error > 0.0 && !matches!(signal, Signal::HoldBack(_)) {
             self.pressed_at = Some(now);
         }
-        let asked = self.arrivals.read(now, ARRIVAL_LAG_S);
         if self.pressed_at.is_some_and(|at| now.saturating_sub(at) < PRESSED) && asked > 0.0 {
             let bound = self.stood.read(now, ARRIVAL_LAG_S) * STOOD_LIMIT.0 + STOOD_LIMIT.1;
             self.alpha = self.alpha.max(1.0 - bound / asked);
         }
         // Step 4: the pace. Queue and rate belong to all fronts; this one corrects its share.
-        let arrivals = self.arrivals.read(now, ARRIVAL_LAG_S);
         if let (Some(rate), Some(queue)) = (self.told_rate, self.told_queue) {
             let error = (TARGET_WAIT_S * rate - queue) / fronts;
-            let span = (-arrivals, rate);
-            let paced = arrivals + self.pace.step(error, dt_s, PACE_GAINS, span, 1.0);
-            self.pace_rate = if self.alpha > 0.0 { paced } else { paced.max(arrivals) };
+            let paced = asked + self.pace.step(error, dt_s, PACE_GAINS, (-asked, rate), 1.0);
+            self.pace_rate = if self.alpha > 0.0 { paced } else { paced.max(asked) };
         }
     }
 
@@ -346,7 +341,7 @@
 }
 
 /// A call that is owed an answer.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Pending {
     call: Call,
     worth: f64,
@@ -375,6 +370,8 @@
     /// Set-ups a second that stood at warm servers, by number: as of the last one, so a pause keeps it.
     carried: BTreeMap<u16, Meter>,
     recent: VecDeque<(f64, u64)>,
+    /// When a number was dialled first, for as long as its caller may still try.
+    dialled: BTreeMap<u64, Micros>,
     ticked_at: Option<Micros>,
     logged_at: Option<Micros>,
     watching: bool,
@@ -396,6 +393,7 @@
             arrivals: Meter::default(),
             carried: BTreeMap::new(),
             recent: VecDeque::new(),
+            dialled: BTreeMap::new(),
             ticked_at: None,
             logged_at: None,
             watching: false,
@@ -416,7 +414,9 @@
             Event::List(kind, entries) => self.list(now, kind, &entries, actions),
             Event::Call(call) => self.call(now, call, actions),
             Event::Stands { call, attempt, server, lag } => {
-                self.calls.remove(&call);
+                if let Some(pending) = self.calls.remove(&call) {
+                    self.dialled.remove(&pending.call.number);
+                }
                 self.answered(call, attempt);
                 if let Some(server) = self.servers.get_mut(&server) {
                     server.proven();
@@ -447,15 +447,14 @@
                 let asked = lag > 0 || outcome != Outcome::Ok;
                 if let Some(server) = self.servers.get_mut(&server) {
                     server.note_report(now, &report);
-                    match outcome {
-                        Outcome::Ok if asked => server.proven(),
-                        _ if asked => server.suspend(now),
-                        _ => {}
+                    match (asked, outcome) {
+                        (true, Outcome::Ok) => server.proven(),
+                        (true, _) => server.suspend(now),
+                        (false, _) => {}
                     }
                 }
             }
-            Event::Peer { .. } => {}
-            Event::Timer(TOKEN_TICK) => {}
+            Event::Peer { .. } | Event::Timer(TOKEN_TICK) => {}
             Event::Timer(TOKEN_WATCH) => actions.push(Action::Watch),
             Event::Timer(token) => self.timer(now, (token >> 2) as CallId, token & 3, actions),
         }
@@ -477,8 +476,10 @@
         for (id, server) in &mut self.servers {
             let carried = self.carried.get(&server.number).map_or(0.0, |meter| meter.rate);
             server.tick(now, dt_s, f64::from(self.settings.fronts), carried);
-            let listed = server.state == ServerState::Ready;
-            if probing && listed && now >= server.probed_at.saturating_add(PROBE_EVERY) {
+            if probing
+                && server.state == ServerState::Ready
+                && now >= server.probed_at.saturating_add(PROBE_EVERY)
+            {
                 server.probed_at = now;
                 actions.push(Action::Probe(*id));
             }
@@ -486,6 +487,8 @@
                 due.push(*id);
             }
         }
+        let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        self.dialled.retain(|_, at| now < at.saturating_add(longest));
         for id in due {
             self.release(now, id, actions);
         }
@@ -536,9 +539,7 @@
     /// Calls held for a server that takes nothing more are placed anew.
     fn rehome(&mut self, now: Micros, held: Option<VecDeque<CallId>>, actions: &mut Vec<Action>) {
         for id in held.into_iter().flatten() {
-            if let Some(pending) = self.calls.get_mut(&id).filter(|p| p.held_at.is_some()) {
-                pending.held_at = None;
-                pending.last = None;
+            if self.calls.get_mut(&id).is_some_and(|p| p.held_at.take().is_some()) {
                 self.place(now, id, actions);
             }
         }
@@ -554,26 +555,24 @@
             actions.push(Action::Refuse { call: id, retry_after: 0 });
             return;
         };
-        let answer_by = (now + call.gives_up_in).saturating_sub(MARGIN);
-        let aim_at = (now + class.aim).min(answer_by);
-        let worth = self.worth_of(now, &call);
+        let answer_by = now.saturating_add(call.gives_up_in).saturating_sub(MARGIN);
+        // Guards against work for callers whose time has gone: a number dialled again here is most likely the
+        // same caller, whose aim counts from the first try. A cut call's counts anew.
+        if call.redial == Some(false) || call.was_cut || call.number == 0 {
+            self.dialled.remove(&call.number);
+        }
+        let first_at = *self.dialled.entry(call.number).or_insert(now);
+        let aim_at = first_at + class.aim;
+        let mut worth = self.worth_of(now, &call);
+        if aim_at <= now {
+            worth *= self.settings.classes[call.class].late_worth;
+        }
+        let aim_at = aim_at.max(now).min(answer_by);
         self.recent.push_back((worth, call.number));
         if self.recent.len() > RECENT_CALLS {
             self.recent.pop_front();
         }
-        let pending = Pending {
-            call,
-            worth,
-            aim_at,
-            answer_by,
-            attempts: 0,
-            out: None,
-            last: None,
-            held_at: None,
-            not_before: now,
-            may_have_run: None,
-            sent_at: now,
-        };
+        let pending = Pending { call, worth, aim_at, answer_by, not_before: now, ..Pending::default() };
         self.calls.insert(id, pending);
         actions.push(Action::Timer { at: answer_by.max(now), token: u64::from(id) << 2 | TOKEN_DEADLINE });
         self.place(now, id, actions);
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -51,6 +51,7 @@
             number,
             gives_up_in,
             first_choice,
+            redial: None,
             in_transit,
             was_cut: false,
         })
