--- a/src/policy.rs
+++ b/src/policy.rs
@@ -645,6 +645,10 @@
             }
         }
         let Some(pending) = self.calls.get(&id) else { return Vec::new() };
+        // The last lines, one for each front, are kept for calls of more worth than most.
+        let below = self.recent.iter().filter(|(w, _)| *w < pending.worth).count() as f64;
+        let lowly = 1.0 - below / self.recent.len().max(1) as f64;
+        let reserve = if lowly < 0.5 { 0.0 } else { f64::from(self.settings.fronts) * lowly };
         let call = &pending.call;
         let skilled = self.settings.classes.get(call.class).and_then(|class| class.servers.as_ref());
         let fits = |server: &Server| {
@@ -655,7 +659,7 @@
                 && now >= server.suspended_until
                 && !(server.on_trial && server.unanswered > 0)
                 && (!server.is_cold(now, ramp) || server.bucket >= 1.0)
-                && server.free.is_none_or(|free| free > 0.0)
+                && server.free.is_none_or(|free| free > reserve)
         };
         let mut allowed: Vec<_> = self.servers.iter().filter(|(_, s)| fits(s)).map(|(id, _)| *id).collect();
         if let Some(last) = pending.last.filter(|_| allowed.len() > 1) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -243,3 +243,26 @@
     }
     assert!(late > 350 && fresh < 60, "{late} late redials refused, {fresh} fresh calls");
 }
+
+#[test]
+fn the_last_lines_go_to_calls_of_more_worth_than_most() {
+    // Bergen big-2: where lines ran out, calls worth eight times as much were refused like any other.
+    let mut front = Front::with(settings(), &[line(10, 0)]);
+    let (mut high, mut low) = ((0, 0), (0, 0));
+    for i in 0..1000u64 {
+        // One line for each front is left; told anew before each call.
+        front.report(10, Report { free: Some(2.0), lines: Some(60.0), ..Report::default() });
+        let class = usize::from(i % 10 == 0);
+        let (id, actions) = front.call_with(|call| call.class = class);
+        let count = if class == 1 { &mut high } else { &mut low };
+        count.0 += u32::from(i > 100);
+        count.1 += u32::from(i > 100 && sent(&actions).is_some());
+        front.event(Event::Abandoned(id));
+        front.now += 20 * MS;
+    }
+    assert_eq!(high.0, high.1, "the few of high worth get them");
+    assert_eq!(low.1, 0, "of {} others", low.0);
+    // With room for all there is no difference.
+    front.report(10, Report { free: Some(30.0), lines: Some(60.0), ..Report::default() });
+    assert!(sent(&front.call().1).is_some());
+}
