--- a/src/policy.rs
+++ b/src/policy.rs
@@ -648,7 +648,7 @@
         // The last lines, one for each front, are kept for calls of more worth than most.
         let below = self.recent.iter().filter(|(w, _)| *w < pending.worth).count() as f64;
         let lowly = 1.0 - below / self.recent.len().max(1) as f64;
-        let reserve = if lowly < 0.5 { 0.0 } else { 2.0 * f64::from(self.settings.fronts) * lowly };
+        let reserve = if lowly < 0.5 { 0.0 } else { f64::from(self.settings.fronts) * lowly };
         let call = &pending.call;
         let skilled = self.settings.classes.get(call.class).and_then(|class| class.servers.as_ref());
         let fits = |server: &Server| {
