--- a/src/policy.rs
+++ b/src/policy.rs
@@ -859,11 +859,6 @@
             return self.turn_away(id, actions);
         }
         if never_ran || outcome == Outcome::Error {
-            // Guards against faults at one server driving its load onto smaller ones: the first repeat may go
-            // back there. Could waste one attempt where every set-up fails.
-            if outcome == Outcome::Error && pending.attempts == 1 {
-                pending.last = None;
-            }
             return self.place(now, id, actions);
         }
         pending.not_before = now + guard + GUARD_SLACK;
