--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,7 +29,7 @@
 /// Kpc and Kic (1/s) on a rate error, a fraction of the rate that is asked for.
 const RATE_GAINS: (f64, f64) = (0.7, 0.2);
 /// A negative error unwinds the integral so much faster than a positive one winds it.
-const UNWIND: f64 = 3.0;
+const UNWIND: f64 = 6.0;
 /// A wait seen by this front itself counts for so long.
 const SEEN_FRESH: Micros = SECOND;
 /// s. Wait taken for granted at a processor that answers 'full' without naming one.
