--- a/src/policy.rs
+++ b/src/policy.rs
@@ -308,7 +308,6 @@
         }
         if self.pressed_at.is_some_and(|at| now.saturating_sub(at) < PRESSED) && asked > 0.0 {
             let bound = self.stood.read(now, ARRIVAL_LAG_S) * STOOD_LIMIT.0 + STOOD_LIMIT.1;
-            let bound = bound.max(self.told_rate.unwrap_or(0.0) / fronts);
             self.alpha = self.alpha.max(1.0 - bound / asked);
         }
         // Step 4: the pace. Queue and rate belong to all fronts; this one corrects its share.
