--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,6 +32,8 @@
 const UNWIND: f64 = 6.0;
 /// A wait seen by this front itself counts for so long.
 const SEEN_FRESH: Micros = SECOND;
+/// So many unanswered set-ups are no sign of a wait.
+const BACKLOG_NOISE: f64 = 3.0;
 /// s. Wait taken for granted at a processor that answers 'full' without naming one.
 const FULL_WAIT_S: f64 = 2.0;
 /// For so long after its last positive error a server counts as pressed ...
@@ -227,10 +229,6 @@
         self.cold_since.is_some_and(|since| now < since.saturating_add(ramp))
     }
 
-    fn paced(&self) -> bool {
-        self.told_rate.is_some() && self.told_queue.is_some()
-    }
-
     fn see_wait(&mut self, now: Micros, wait_s: f64) {
         self.seen_wait_s = wait_s;
         self.seen_at = now;
@@ -256,6 +254,12 @@
     /// Steps 1 and 2: reported load to reject fraction.
     fn tick(&mut self, now: Micros, dt_s: f64, fronts: f64, carried: f64) {
         let asked = self.arrivals.read(now, ARRIVAL_LAG_S);
+        // Guards against surges that no report shows yet (cut calls coming back, a flood at this front): what
+        // is unanswered here, over what the server took from here, is a wait. Few set-ups prove nothing.
+        let backlog_s = (f64::from(self.unanswered) - BACKLOG_NOISE) / carried.max(0.1);
+        if backlog_s > self.seen_wait_s.max(TARGET_WAIT_S) {
+            self.see_wait(now, backlog_s);
+        }
         let told = self.signal.filter(|_| now.saturating_sub(self.reported_at) <= STALE);
         let seen = Some(Signal::Wait(self.seen_wait_s));
         let seen = seen.filter(|_| self.seen_at > 0 && now.saturating_sub(self.seen_at) <= SEEN_FRESH);
@@ -701,7 +705,7 @@
         };
         let Some(server) = self.servers.get_mut(&choice) else { return };
         server.arrivals.count(now, ARRIVAL_LAG_S);
-        let (alpha, paced) = (server.alpha, server.paced());
+        let (alpha, paced) = (server.alpha, server.told_rate.is_some() && server.told_queue.is_some());
         // Step 3. Later attempts draw as well: the processor does not care which attempt loads it.
         let refusal = self.refusal(alpha, worth);
         let mut choice = choice;
