--- a/src/policy.rs
+++ b/src/policy.rs
@@ -261,9 +261,8 @@
             self.see_wait(now, backlog_s);
         }
         let told = self.signal.filter(|_| now.saturating_sub(self.reported_at) <= STALE);
-        let seen = Some(Signal::Wait(self.seen_wait_s));
-        let seen = seen.filter(|_| self.seen_at > 0 && now.saturating_sub(self.seen_at) <= SEEN_FRESH);
-        let Some(signal) = told.or(seen) else {
+        let fresh = self.seen_at > 0 && now.saturating_sub(self.seen_at) <= SEEN_FRESH;
+        let Some(signal) = told.or(fresh.then_some(Signal::Wait(self.seen_wait_s))) else {
             // Guards against feedback that went missing: at a high reject fraction nothing is sent, so
             // nothing is answered, so nothing is reported. Neither frozen nor wound further: it fades.
             self.pi.integral *= (-dt_s / FADE_S).exp();
@@ -293,7 +292,7 @@
         let seen = self.seen_wait_s / TARGET_WAIT_S - 1.0;
         let (error, gains) = match signal {
             Signal::HoldBack(_) => (error, gains),
-            _ if self.seen_at == 0 || now.saturating_sub(self.seen_at) > SEEN_FRESH => (error, gains),
+            _ if !fresh => (error, gains),
             Signal::Rate(_) => (seen.min(ERROR_MAX), WAIT_GAINS),
             _ if seen <= 0.0 || error * gains.0 >= seen.min(ERROR_MAX) * WAIT_GAINS.0 => (error, gains),
             _ => (seen.min(ERROR_MAX), WAIT_GAINS),
@@ -617,10 +616,6 @@
         (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
 
-    fn draw(&mut self, below: usize) -> usize {
-        ((self.chance() * below as f64) as usize).min(below.saturating_sub(1))
-    }
-
     /// Set-ups a second that this front may send to a cold server: its own share of what the server's number
     /// took while warm (servers differ a hundredfold, others are no guide), so that the
     /// fronts together keep to what it can do, whoever has how much of the traffic. A told rate is best.
@@ -686,8 +681,9 @@
         if direct.is_some() || allowed.len() < 2 {
             return direct.or(allowed.first()).copied();
         }
-        let one = self.draw(allowed.len());
-        let other = (one + 1 + self.draw(allowed.len() - 1)) % allowed.len();
+        let one = (self.chance() * allowed.len() as f64) as usize;
+        let step = 1 + (self.chance() * (allowed.len() - 1) as f64) as usize;
+        let other = (one + step) % allowed.len();
         let load = |i: usize| self.servers.get(&allowed[i]).map_or(u32::MAX, |s| s.unanswered);
         Some(allowed[if load(other) < load(one) { other } else { one }])
     }
@@ -737,9 +733,7 @@
         let ramp = self.settings.ramp_time;
         loop {
             let Some(server) = self.servers.get_mut(&id) else { return };
-            let rate = server
-                .pace_rate
-                .max(server.arrivals.read(now, ARRIVAL_LAG_S) * f64::from(u8::from(!server.paced())));
+            let rate = server.pace_rate;
             if !server.is_cold(now, ramp) {
                 server.fill(now, rate, BUCKET);
             }
