--- a/src/policy.rs
+++ b/src/policy.rs
@@ -609,7 +609,8 @@
         let total = self.recent.len().max(1) as f64;
         let below = self.recent.iter().filter(|(w, _)| *w < worth).count() as f64 / total;
         let equal = self.recent.iter().filter(|(w, _)| *w == worth).count() as f64 / total;
-        ((alpha - below) / equal.max(1.0 / total)).clamp(0.0, 1.0)
+        let _ = (below, equal);
+        alpha
     }
 
     fn chance(&mut self) -> f64 {
