--- a/src/policy.rs
+++ b/src/policy.rs
@@ -329,7 +329,7 @@
 
     /// A sign that the server does not work; it is left alone, each time for longer.
     fn suspend(&mut self, now: Micros) {
-        if false && now >= self.suspended_until {
+        if now >= self.suspended_until {
             self.suspended_until = now + self.pause;
             self.pause = (self.pause * 2).min(SUSPEND.1);
             self.on_trial = true;
