--- a/src/policy.rs
+++ b/src/policy.rs
@@ -70,10 +70,8 @@
 const CUT_WORTH: f64 = 1.5;
 /// s. Lag of a customer's arrival rate.
 const TENANT_LAG_S: f64 = 5.0;
-/// First and longest pause after failed connects or a row of time-outs.
+/// First and longest pause after failed connects.
 const SUSPEND: (Micros, Micros) = (500 * MS, 4 * SECOND);
-/// So many time-outs in a row suspend a server.
-const TIMEOUT_ROW: u32 = 3;
 /// Answers are given so long before the caller's time is up.
 const MARGIN: Micros = 30 * MS;
 /// A set-up with less time than this left is not sent.
@@ -203,7 +201,6 @@
     held: VecDeque<CallId>,
     bucket: f64,
     bucket_at: Micros,
-    timeouts: u32,
     pause: Micros,
     suspended_until: Micros,
     /// Back from suspension: one set-up at a time until one stands.
@@ -337,7 +334,6 @@
     }
 
     fn proven(&mut self) {
-        self.timeouts = 0;
         self.pause = SUSPEND.0;
         self.on_trial = false;
     }
@@ -816,15 +812,8 @@
                 server.bucket = 0.0;
                 server.suspend(now);
             }
-            Outcome::Timeout => {
-                server.see_wait(now, seconds(lag));
-                server.timeouts += 1;
-                if server.timeouts >= TIMEOUT_ROW {
-                    server.suspend(now);
-                }
-            }
-            Outcome::Ok | Outcome::Full | Outcome::Error => server.timeouts = 0,
-            Outcome::Reset | Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Timeout => server.see_wait(now, seconds(lag)),
+            _ => {}
         }
         if server.suspended_until > was {
             self.log(now, format!("suspended: server number {number} after {outcome:?}"), actions);
