--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -137,3 +137,15 @@
     let actions = front.ended(id, 0, 10, Outcome::Timeout, Note::None);
     assert_eq!(actions.iter().filter(|a| **a == Action::Fail(id)).count(), 1);
 }
+
+#[test]
+fn a_list_that_must_be_asked_for_is_asked_for_once_and_again_after_a_failure() {
+    let watches = |actions: &[Action]| actions.iter().filter(|a| **a == Action::Watch).count();
+    let mut front = Front::with(settings(), &[line(10, 0)]);
+    assert_eq!(watches(&front.pass(5 * S)), 0, "changes come by themselves");
+    let mut front = Front { now: S, next: 1, ..Front::with(Settings { subscribe: true, ..settings() }, &[]) };
+    let actions = front.event(Event::List(ListKind::Failed, vec![]));
+    let (at, token) = timers(&actions).into_iter().find(|(_, t)| *t != 0).expect("a timer to ask again");
+    front.now = at;
+    assert_eq!(watches(&front.event(Event::Timer(token))), 1);
+}
