--- a/src/policy.rs
+++ b/src/policy.rs
@@ -58,8 +58,10 @@
 const CARRIED_LAG_S: f64 = 10.0;
 /// A cold server gets this share of what would push it over: room for uneven fronts, and its loop holds it.
 const RAMP_SHARE: f64 = 0.5;
-/// s. A cold server's bucket saves up one set-up and as many as fall due in this time.
+/// s. A cold server's bucket saves up one set-up and as many as fall due in this time ...
 const RAMP_BURST_S: f64 = 0.3;
+/// ... and a set-up that was saved up and found no call is forgotten after this.
+const RAMP_KEEP: Micros = 3 * SECOND;
 /// Calls that the order of worth and the share of a number are judged on.
 const RECENT_CALLS: usize = 200;
 /// A number dialled by so many of the recent calls is in a flood.
@@ -70,8 +72,6 @@
 const CUT_WORTH: f64 = 1.5;
 /// s. Lag of a customer's arrival rate.
 const TENANT_LAG_S: f64 = 5.0;
-/// First and longest pause after failed connects.
-const SUSPEND: (Micros, Micros) = (500 * MS, 4 * SECOND);
 /// Answers are given so long before the caller's time is up.
 const MARGIN: Micros = 30 * MS;
 /// A set-up with less time than this left is not sent.
@@ -201,10 +201,7 @@
     held: VecDeque<CallId>,
     bucket: f64,
     bucket_at: Micros,
-    pause: Micros,
-    suspended_until: Micros,
-    /// Back from suspension: one set-up at a time until one stands.
-    on_trial: bool,
+    full_at: Micros,
     probed_at: Micros,
 }
 
@@ -217,7 +214,6 @@
             cold_since: entry.started_at,
             least_lag: Micros::MAX,
             bucket_at: now,
-            pause: SUSPEND.0,
             ..Self::default()
         }
     }
@@ -320,23 +316,23 @@
 
     fn fill(&mut self, now: Micros, rate: f64, most: f64) {
         let dt_s = seconds(now.saturating_sub(self.bucket_at));
+        if self.bucket < 1.0 {
+            self.full_at = now;
+        }
         self.bucket = (self.bucket + rate * dt_s).min(most);
         self.bucket_at = now;
     }
 
-    /// A sign that the server does not work; it is left alone, each time for longer.
-    fn suspend(&mut self, now: Micros) {
-        if now >= self.suspended_until {
-            self.suspended_until = now + self.pause;
-            self.pause = (self.pause * 2).min(SUSPEND.1);
-            self.on_trial = true;
+    /// The bucket of a cold server. It starts at a random level and forgets what no call came for. Guards
+    /// against hundreds of fronts that each have saved up one set-up and spend it in the same instant.
+    fn fill_cold(&mut self, now: Micros, rate: f64, chance: f64) {
+        let overslept = now.saturating_sub(self.full_at) > RAMP_KEEP;
+        if self.bucket >= 1.0 && overslept {
+            self.bucket = chance;
         }
+        self.fill(now, rate, 1.0 + rate * RAMP_BURST_S);
     }
 
-    fn proven(&mut self) {
-        self.pause = SUSPEND.0;
-        self.on_trial = false;
-    }
 }
 
 /// A call that is owed an answer.
@@ -418,7 +414,6 @@
                 }
                 self.answered(call, attempt);
                 if let Some(server) = self.servers.get_mut(&server) {
-                    server.proven();
                     server.see_lag(now, lag);
                     server.stood.count(now, ARRIVAL_LAG_S);
                     if !server.is_cold(now, self.settings.ramp_time) {
@@ -442,15 +437,9 @@
             Event::Abandoned(call) => {
                 self.calls.remove(&call);
             }
-            Event::Probed { server, outcome, lag, report } => {
-                let asked = lag > 0 || outcome != Outcome::Ok;
+            Event::Probed { server, report, .. } => {
                 if let Some(server) = self.servers.get_mut(&server) {
                     server.note_report(now, &report);
-                    match (asked, outcome) {
-                        (true, Outcome::Ok) => server.proven(),
-                        (true, _) => server.suspend(now),
-                        (false, _) => {}
-                    }
                 }
             }
             Event::Peer { .. } | Event::Timer(TOKEN_TICK) => {}
@@ -515,7 +504,7 @@
                 }
                 None => {
                     // A new process: nothing learnt of the old one holds.
-                    let fresh = Server::new(entry, now);
+                    let fresh = Server { bucket: self.chance(), ..Server::new(entry, now) };
                     let held = self.servers.insert(entry.server, fresh).map(|old| old.held);
                     self.rehome(now, held, actions);
                     if entry.started_at.is_some_and(|at| now < at + self.settings.ramp_time) {
@@ -619,9 +608,11 @@
         if let Some(rate) = server.told_rate.filter(|_| now.saturating_sub(server.reported_at) <= STALE) {
             return rate * self.settings.fall_multiple * RAMP_SHARE / f64::from(self.settings.fronts);
         }
-        let least = self.carried.values().map(|m| m.rate).fold(f64::INFINITY, f64::min);
+        // Without the last one's own weight: at a few set-ups a minute it would double the estimate.
+        let carried = |meter: &Meter| (meter.rate - 1.0 / CARRIED_LAG_S).max(0.0);
+        let least = self.carried.values().map(carried).fold(f64::INFINITY, f64::min);
         let own = self.arrivals.read(now, ARRIVAL_LAG_S) / self.servers.len().max(1) as f64;
-        let full = self.carried.get(&server.number).map_or(least.min(own), |meter| meter.rate);
+        let full = self.carried.get(&server.number).map_or(least.min(own), carried);
         let age = seconds(now.saturating_sub(server.cold_since.unwrap_or(now)));
         let warmth = age / seconds(self.settings.ramp_time.max(1));
         let warmth = self.settings.cold_from + (1.0 - self.settings.cold_from) * warmth.min(1.0);
@@ -635,8 +626,9 @@
             self.servers.iter().filter(|(_, s)| s.is_cold(now, ramp)).map(|(id, _)| *id).collect();
         for id in cold {
             let rate = self.servers.get(&id).map_or(0.0, |server| self.ramp_rate(now, server));
+            let chance = self.chance();
             if let Some(server) = self.servers.get_mut(&id) {
-                server.fill(now, rate, 1.0 + rate * RAMP_BURST_S);
+                server.fill_cold(now, rate, chance);
             }
         }
         let Some(pending) = self.calls.get(&id) else { return Vec::new() };
@@ -651,8 +643,6 @@
                 && self.settings.own_number != Some(server.number)
                 && skilled.is_none_or(|numbers| numbers.contains(&server.number))
                 && (!call.in_transit || call.first_choice == Some(server.number))
-                && now >= server.suspended_until
-                && !(server.on_trial && server.unanswered > 0)
                 && (!server.is_cold(now, ramp) || server.bucket >= 1.0)
                 && server.free.is_none_or(|free| free > reserve)
         };
@@ -796,6 +786,7 @@
         actions: &mut Vec<Action>,
     ) {
         let (outcome, lag, note) = how;
+        let chance = self.chance();
         let Some(server) = self.servers.get_mut(&id) else { return };
         if note == Note::NoLine {
             server.free = Some(0.0);
@@ -803,21 +794,18 @@
         if let Note::ProcessorFull(wait) = note {
             server.see_wait(now, seconds(wait).max(FULL_WAIT_S));
         }
-        let number = server.number;
-        let was = server.suspended_until;
         match outcome {
             Outcome::ConnectFailed => {
-                // Nothing runs there: whatever answers next has just started, told or not.
+                // Nothing runs there: whatever answers next has just started, told or not. Its ramp budget
+                // also bounds the tries that a dead server gets.
+                let text = format!("not reached: server number {} counts as cold", server.number);
                 server.cold_since = Some(now);
-                server.bucket = 0.0;
-                server.suspend(now);
+                server.bucket = chance;
+                self.log(now, text, actions);
             }
             Outcome::Timeout => server.see_wait(now, seconds(lag)),
             _ => {}
         }
-        if server.suspended_until > was {
-            self.log(now, format!("suspended: server number {number} after {outcome:?}"), actions);
-        }
     }
 
     /// What becomes of a call whose attempt failed.
