--- a/src/bin/baydrift-wirehost/config.rs
+++ b/src/bin/baydrift-wirehost/config.rs
@@ -93,6 +93,8 @@
 #[serde(rename_all = "kebab-case")]
 struct Raw {
     balancers: u32,
+    #[serde(default)]
+    ordinal: u32,
     classes: Vec<RawClass>,
     #[serde(default)]
     clients: RawClients,
@@ -158,6 +160,7 @@
     };
     let settings = Settings {
         fronts: raw.balancers,
+        ordinal: raw.ordinal,
         own_number: raw.family_info.own_number.filter(|n| *n >= 0.0).map(|n| n as u16),
         classes,
         tenants: raw.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
--- a/src/bin/baydrift-wirehost/host.rs
+++ b/src/bin/baydrift-wirehost/host.rs
@@ -23,8 +23,6 @@
     actions: Vec<Action>,
 }
 
-const PEER_ALL: u32 = u32::MAX;
-
 fn outcome(code: u16, fields: &Fields) -> Result<Outcome, WireError> {
     Ok(match code {
         0 => Outcome::Error,
@@ -290,9 +288,9 @@
             head(out, 1080, front);
             put_server(out, *server);
         }
-        Action::TellPeers(payload) => {
+        Action::TellPeer { to, payload } => {
             head(out, 1070, front);
-            out.extend_from_slice(&PEER_ALL.to_le_bytes());
+            out.extend_from_slice(&to.to_le_bytes());
             out.extend_from_slice(&(payload.len() as u16).to_le_bytes());
             out.extend_from_slice(payload);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -62,6 +62,8 @@
 pub struct Settings {
     /// How many fronts share the servers, this one included.
     pub fronts: u32,
+    /// This front's own place among them, from 0.
+    pub ordinal: u32,
     /// This front's own number where it is an exchange: never a target.
     pub own_number: Option<u16>,
     /// The classes, in the order that calls name them.
@@ -352,8 +354,13 @@
     },
     /// Probe a server.
     Probe(ServerId),
-    /// Send a message to every other front.
-    TellPeers(Vec<u8>),
+    /// Send a message to another front.
+    TellPeer {
+        /// Its ordinal.
+        to: u32,
+        /// What to say.
+        payload: Vec<u8>,
+    },
     /// Subscribe to the server list.
     Watch,
     /// Wake the controller at a time, with a token.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! let settings = Settings {
 //!     fronts: 2,
+//!     ordinal: 0,
 //!     own_number: None,
 //!     classes: vec![Class { worth: 1.0, late_worth: 0.2, aim: 2_000_000, deadline: 9_000_000, repeat: Repeat::Safe, servers: None }],
 //!     tenants: vec![],
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -72,6 +72,8 @@
 const CUT_WORTH: f64 = 1.5;
 /// s. Lag of a customer's arrival rate.
 const TENANT_LAG_S: f64 = 5.0;
+/// Mean pause after a failed connect; drawn by chance, so that fronts do not come back in step.
+const DOWN_PAUSE_S: f64 = 1.0;
 /// Answers are given so long before the caller's time is up.
 const MARGIN: Micros = 30 * MS;
 /// A set-up with less time than this left is not sent.
@@ -82,6 +84,21 @@
 const PROBE_EVERY: Micros = SECOND;
 /// Time until a failed subscription is asked for again.
 const WATCH_AGAIN: Micros = SECOND;
+/// A front tells one other, drawn by chance, what it knows of the servers; mean time between messages ...
+const TELL_EVERY_S: f64 = 0.25;
+/// ... of those that it hears of itself less often than this a second, ...
+const HEARD_ENOUGH: f64 = 2.0;
+/// s. ... as a rate with this lag.
+const HEARD_LAG_S: f64 = 4.0;
+/// s. A mean over fronts goes back to this front's own rate with this time constant.
+const MEAN_LAG_S: f64 = 4.0;
+/// First byte of a message.
+const WORD_VERSION: u8 = 1;
+/// Bytes of a message, and of its part on one server.
+const MESSAGE_MAX: usize = 256;
+const WORD_MAX: usize = 23;
+/// Unit of ages in messages.
+const WORD_AGE: Micros = 10 * MS;
 /// Least time between log lines.
 const LOG_EVERY: Micros = SECOND;
 
@@ -95,6 +112,15 @@
     span as f64 / SECOND as f64
 }
 
+fn micros(seconds: f64) -> Micros {
+    (seconds * SECOND as f64) as Micros
+}
+
+/// A told value, unless it is none or nonsense.
+fn sane(value: Option<f64>) -> Option<f64> {
+    value.filter(|v| v.is_finite() && *v >= 0.0)
+}
+
 /// First-order low-pass filter over true elapsed time.
 #[derive(Debug, Clone, Copy)]
 struct LowPass {
@@ -161,13 +187,12 @@
     /// The nearest to what the loop must hold comes first: the share itself, then the wait, then the queue
     /// that makes it; a rate or utilisation says only that the processor is busy, not by how much too much.
     fn of(report: &Report) -> Option<Self> {
-        let told = |value: Option<f64>| value.filter(|v| v.is_finite() && *v >= 0.0);
-        told(report.hold_back)
+        sane(report.hold_back)
             .map(Self::HoldBack)
-            .or(told(report.wait_s).map(Self::Wait))
-            .or(told(report.queue).map(Self::Queue))
-            .or(told(report.rate).map(Self::Rate))
-            .or(told(report.busy).map(Self::Busy))
+            .or(sane(report.wait_s).map(Self::Wait))
+            .or(sane(report.queue).map(Self::Queue))
+            .or(sane(report.rate).map(Self::Rate))
+            .or(sane(report.busy).map(Self::Busy))
     }
 }
 
@@ -180,10 +205,13 @@
     /// It may be cold from this time on: told, or the last time nothing could be reached there.
     cold_since: Option<Micros>,
     free: Option<f64>,
-    signal: Option<Signal>,
-    told_rate: Option<f64>,
-    told_queue: Option<f64>,
+    /// The newest load report, whoever heard it, and when it was heard.
+    report: Report,
     reported_at: Micros,
+    /// This front knows of the process since then; older news is of another one.
+    known_at: Micros,
+    /// How often this front hears of the server itself.
+    heard: Meter,
     /// The shortest and the latest set-up time that this front saw itself; the difference is waiting.
     least_lag: Micros,
     seen_wait_s: f64,
@@ -195,6 +223,10 @@
     unanswered: u32,
     arrivals: Meter,
     stood: Meter,
+    /// The same two, averaged over what fronts tell each other.
+    asked_mean: f64,
+    stood_mean: f64,
+    mean_at: Micros,
     pressed_at: Option<Micros>,
     pace: Pi,
     pace_rate: f64,
@@ -202,6 +234,7 @@
     bucket: f64,
     bucket_at: Micros,
     full_at: Micros,
+    down_until: Micros,
     probed_at: Micros,
 }
 
@@ -213,6 +246,7 @@
             started_at: entry.started_at,
             cold_since: entry.started_at,
             least_lag: Micros::MAX,
+            known_at: now,
             bucket_at: now,
             ..Self::default()
         }
@@ -236,24 +270,55 @@
         if report.free.is_some() {
             self.free = report.free;
         }
-        let Some(signal) = Signal::of(report) else { return };
-        self.signal = Some(signal);
-        self.reported_at = now;
-        let told = |value: Option<f64>| value.filter(|v| v.is_finite() && *v >= 0.0);
-        self.told_rate = told(report.rate);
-        self.told_queue = told(report.queue);
+        if Signal::of(report).is_some() {
+            self.report = *report;
+            self.reported_at = now;
+            self.heard.count(now, HEARD_LAG_S);
+        }
+    }
+
+    fn is_paced(&self) -> bool {
+        sane(self.report.rate).is_some() && sane(self.report.queue).is_some()
+    }
+
+    /// What another front said of the server. Newest wins; it says nothing of its state or warmth.
+    fn note_word(&mut self, now: Micros, word: &Word) {
+        let newer = |age: Micros, than: Micros| {
+            Some(now.saturating_sub(age)).filter(|at| *at > than.max(self.known_at))
+        };
+        let (report_at, seen_at) = (newer(word.age, self.reported_at), newer(word.seen_age, self.seen_at));
+        if let Some(at) = report_at {
+            (self.report, self.reported_at) = (word.report, at);
+        }
+        if let Some(at) = seen_at {
+            self.see_wait(at, word.seen_wait_s);
+        }
+        self.asked_mean = (self.asked_mean + word.asked) / 2.0;
+        self.stood_mean = (self.stood_mean + word.stood) / 2.0;
+        self.mean_at = now;
+    }
+
+    /// Mean rates asked for and stood over the fronts, where others told theirs lately; else this one's own.
+    fn rates(&self, now: Micros) -> (f64, f64) {
+        if self.mean_at > 0 && now.saturating_sub(self.mean_at) < STALE {
+            return (self.asked_mean, self.stood_mean);
+        }
+        (self.arrivals.read(now, ARRIVAL_LAG_S), self.stood.read(now, ARRIVAL_LAG_S))
     }
 
     /// Steps 1 and 2: reported load to reject fraction.
     fn tick(&mut self, now: Micros, dt_s: f64, fronts: f64, carried: f64) {
-        let asked = self.arrivals.read(now, ARRIVAL_LAG_S);
+        let pull = 1.0 - (-dt_s / MEAN_LAG_S).exp();
+        self.asked_mean += (self.arrivals.read(now, ARRIVAL_LAG_S) - self.asked_mean) * pull;
+        self.stood_mean += (self.stood.read(now, ARRIVAL_LAG_S) - self.stood_mean) * pull;
+        let (asked, stood) = self.rates(now);
         // Guards against surges that no report shows yet (cut calls coming back, a flood at this front): what
         // is unanswered here, over what the server took from here, is a wait. Few set-ups prove nothing.
         let backlog_s = (f64::from(self.unanswered) - BACKLOG_NOISE) / carried.max(0.1);
         if backlog_s > self.seen_wait_s.max(TARGET_WAIT_S) {
             self.see_wait(now, backlog_s);
         }
-        let told = self.signal.filter(|_| now.saturating_sub(self.reported_at) <= STALE);
+        let told = Signal::of(&self.report).filter(|_| now.saturating_sub(self.reported_at) <= STALE);
         let fresh = self.seen_at > 0 && now.saturating_sub(self.seen_at) <= SEEN_FRESH;
         let Some(signal) = told.or(fresh.then_some(Signal::Wait(self.seen_wait_s))) else {
             // Guards against feedback that went missing: at a high reject fraction nothing is sent, so
@@ -271,7 +336,7 @@
             Signal::HoldBack(share) => (share, (1.0, 0.0)),
             Signal::Wait(wait) => ((wait / TARGET_WAIT_S - 1.0).min(ERROR_MAX), WAIT_GAINS),
             Signal::Queue(queue) => {
-                let rate = self.told_rate.unwrap_or(carried * fronts);
+                let rate = sane(self.report.rate).unwrap_or(carried * fronts);
                 let target = (TARGET_WAIT_S * rate).max(QUEUE_FLOOR);
                 ((queue / target - 1.0).min(ERROR_MAX), WAIT_GAINS)
             }
@@ -303,11 +368,11 @@
             self.pressed_at = Some(now);
         }
         if self.pressed_at.is_some_and(|at| now.saturating_sub(at) < PRESSED) && asked > 0.0 {
-            let bound = self.stood.read(now, ARRIVAL_LAG_S) * STOOD_LIMIT.0 + STOOD_LIMIT.1;
+            let bound = stood * STOOD_LIMIT.0 + STOOD_LIMIT.1;
             self.alpha = self.alpha.max(1.0 - bound / asked);
         }
         // Step 4: the pace. Queue and rate belong to all fronts; this one corrects its share.
-        if let (Some(rate), Some(queue)) = (self.told_rate, self.told_queue) {
+        if let (Some(rate), Some(queue)) = (sane(self.report.rate), sane(self.report.queue)) {
             let error = (TARGET_WAIT_S * rate - queue) / fronts;
             let paced = asked + self.pace.step(error, dt_s, PACE_GAINS, (-asked, rate), 1.0);
             self.pace_rate = if self.alpha > 0.0 { paced } else { paced.max(asked) };
@@ -332,7 +397,69 @@
         }
         self.fill(now, rate, 1.0 + rate * RAMP_BURST_S);
     }
+}
+
+/// What one front tells another of one server: load report, wait seen, both with their age, and rates.
+#[derive(Debug, Default)]
+struct Word {
+    key: u32,
+    report: Report,
+    age: Micros,
+    seen_wait_s: f64,
+    seen_age: Micros,
+    asked: f64,
+    stood: f64,
+}
+
+impl Word {
+    /// Servers are named by a fold of their id; the ids of a list differ in it but for great bad luck.
+    fn key(id: ServerId) -> u32 {
+        (id ^ (id >> 32)) as u32
+    }
+
+    fn write(now: Micros, id: ServerId, server: &Server, out: &mut Vec<u8>) {
+        let age = |at: Micros| (now.saturating_sub(at) / WORD_AGE).min(255) as u8;
+        let report = &server.report;
+        let told = [report.hold_back, report.wait_s, report.queue, report.rate, report.busy].map(sane);
+        let mask = told.iter().enumerate().map(|(i, v)| u8::from(v.is_some()) << i).sum();
+        let seen = [server.seen_wait_s, server.asked_mean, server.stood_mean];
+        out.extend(Self::key(id).to_le_bytes());
+        out.extend([mask, age(server.reported_at), age(server.seen_at)]);
+        for value in told.into_iter().flatten().chain(seen) {
+            out.extend(((value as f32).to_bits() >> 16).to_le_bytes().into_iter().take(2));
+        }
+    }
 
+    /// All of a message, or nothing where any of it is wrong.
+    fn read_all(payload: &[u8]) -> Option<Vec<Self>> {
+        let mut bytes = payload.strip_prefix(&[WORD_VERSION])?;
+        let mut words = Vec::new();
+        while let Some((head, rest)) = bytes.split_first_chunk::<7>() {
+            bytes = rest;
+            let [k0, k1, k2, k3, mask, age, seen_age] = *head;
+            let mut value = || {
+                let (raw, rest) = bytes.split_first_chunk::<2>()?;
+                bytes = rest;
+                sane(Some(f64::from(f32::from_bits(u32::from(u16::from_le_bytes(*raw)) << 16))))
+            };
+            let mut told = [None; 5];
+            for (_, place) in told.iter_mut().enumerate().filter(|(i, _)| mask >> i & 1 == 1) {
+                *place = Some(value()?);
+            }
+            let [hold_back, wait_s, queue, rate, busy] = told;
+            let at = |age: u8| if age == 255 { Micros::MAX } else { Micros::from(age) * WORD_AGE };
+            words.push(Self {
+                key: u32::from_le_bytes([k0, k1, k2, k3]),
+                report: Report { hold_back, wait_s, queue, rate, busy, ..Report::default() },
+                age: if mask == 0 { Micros::MAX } else { at(age) },
+                seen_age: at(seen_age),
+                seen_wait_s: value()?,
+                asked: value()?,
+                stood: value()?,
+            });
+        }
+        bytes.is_empty().then_some(words)
+    }
 }
 
 /// A call that is owed an answer.
@@ -368,6 +495,7 @@
     /// When a number was dialled first, for as long as its caller may still try.
     dialled: BTreeMap<u64, Micros>,
     ticked_at: Option<Micros>,
+    tell_at: Micros,
     logged_at: Option<Micros>,
     watching: bool,
 }
@@ -390,6 +518,7 @@
             recent: VecDeque::new(),
             dialled: BTreeMap::new(),
             ticked_at: None,
+            tell_at: 0,
             logged_at: None,
             watching: false,
             settings,
@@ -442,6 +571,14 @@
                     server.note_report(now, &report);
                 }
             }
+            Event::Peer { from, payload } if from < self.settings.fronts => {
+                for word in Word::read_all(&payload).unwrap_or_default() {
+                    let named = self.servers.iter_mut().find(|(id, _)| Word::key(**id) == word.key);
+                    if let Some((_, server)) = named {
+                        server.note_word(now, &word);
+                    }
+                }
+            }
             Event::Peer { .. } | Event::Timer(TOKEN_TICK) => {}
             Event::Timer(TOKEN_WATCH) => actions.push(Action::Watch),
             Event::Timer(token) => self.timer(now, (token >> 2) as CallId, token & 3, actions),
@@ -480,6 +617,34 @@
         for id in due {
             self.release(now, id, actions);
         }
+        self.tell(now, actions);
+    }
+
+    /// Guards against reports that starve: they ride on call ends, and with hundreds of fronts one front
+    /// hears of a server every few seconds. Fronts pass on the newest they know.
+    fn tell(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        let others = self.settings.fronts - 1;
+        if !self.settings.may_tell_peers || others == 0 || now < self.tell_at {
+            return;
+        }
+        let first = self.tell_at == 0;
+        let chance = self.chance();
+        self.tell_at = now + micros(TELL_EVERY_S * if first { chance } else { 0.5 + chance });
+        let mut payload = vec![WORD_VERSION];
+        for (id, server) in &self.servers {
+            let room = payload.len() + WORD_MAX <= MESSAGE_MAX;
+            if room
+                && server.state == ServerState::Ready
+                && server.heard.read(now, HEARD_LAG_S) < HEARD_ENOUGH
+            {
+                Word::write(now, *id, server, &mut payload);
+            }
+        }
+        if !first && payload.len() > 1 {
+            let to = (self.chance() * f64::from(others)) as u32;
+            let to = if to >= self.settings.ordinal { to + 1 } else { to };
+            actions.push(Action::TellPeer { to, payload });
+        }
     }
 
     fn list(&mut self, now: Micros, kind: ListKind, entries: &[Entry], actions: &mut Vec<Action>) {
@@ -605,7 +770,9 @@
     /// took while warm (servers differ a hundredfold, others are no guide), so that the
     /// fronts together keep to what it can do, whoever has how much of the traffic. A told rate is best.
     fn ramp_rate(&self, now: Micros, server: &Server) -> f64 {
-        if let Some(rate) = server.told_rate.filter(|_| now.saturating_sub(server.reported_at) <= STALE) {
+        if let Some(rate) =
+            sane(server.report.rate).filter(|_| now.saturating_sub(server.reported_at) <= STALE)
+        {
             return rate * self.settings.fall_multiple * RAMP_SHARE / f64::from(self.settings.fronts);
         }
         // Without the last one's own weight: at a few set-ups a minute it would double the estimate.
@@ -643,6 +810,7 @@
                 && self.settings.own_number != Some(server.number)
                 && skilled.is_none_or(|numbers| numbers.contains(&server.number))
                 && (!call.in_transit || call.first_choice == Some(server.number))
+                && now >= server.down_until
                 && (!server.is_cold(now, ramp) || server.bucket >= 1.0)
                 && server.free.is_none_or(|free| free > reserve)
         };
@@ -687,7 +855,7 @@
         };
         let Some(server) = self.servers.get_mut(&choice) else { return };
         server.arrivals.count(now, ARRIVAL_LAG_S);
-        let (alpha, paced) = (server.alpha, server.told_rate.is_some() && server.told_queue.is_some());
+        let (alpha, paced) = (server.alpha, server.is_paced());
         // Step 3. Later attempts draw as well: the processor does not care which attempt loads it.
         let refusal = self.refusal(alpha, worth);
         let mut choice = choice;
@@ -796,11 +964,12 @@
         }
         match outcome {
             Outcome::ConnectFailed => {
-                // Nothing runs there: whatever answers next has just started, told or not. Its ramp budget
-                // also bounds the tries that a dead server gets.
+                // Nothing runs there: whatever answers next has just started, told or not. A pause,
+                // since each try costs its call the dial time.
                 let text = format!("not reached: server number {} counts as cold", server.number);
                 server.cold_since = Some(now);
                 server.bucket = chance;
+                server.down_until = now + micros(DOWN_PAUSE_S * (0.5 + chance));
                 self.log(now, text, actions);
             }
             Outcome::Timeout => server.see_wait(now, seconds(lag)),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -18,6 +18,7 @@
     };
     Settings {
         fronts: 2,
+        ordinal: 0,
         own_number: None,
         classes: vec![class(1.0), class(8.0)],
         tenants: vec![],
