--- a/src/policy.rs
+++ b/src/policy.rs
@@ -62,6 +62,8 @@
 const RAMP_BURST_S: f64 = 0.3;
 /// ... and a set-up that was saved up and found no call is forgotten after this.
 const RAMP_KEEP: Micros = 3 * SECOND;
+/// At most this share of a server's lines is kept back, and counted off at each send.
+const LINE_SHARE: f64 = 0.1;
 /// Calls that the order of worth and the share of a number are judged on.
 const RECENT_CALLS: usize = 200;
 /// A number dialled by so many of the recent calls is in a flood.
@@ -205,6 +207,7 @@
     /// It may be cold from this time on: told, or the last time nothing could be reached there.
     cold_since: Option<Micros>,
     free: Option<f64>,
+    lines: Option<f64>,
     /// The newest load report, whoever heard it, and when it was heard.
     report: Report,
     reported_at: Micros,
@@ -268,7 +271,7 @@
 
     fn note_report(&mut self, now: Micros, report: &Report) {
         if report.free.is_some() {
-            self.free = report.free;
+            (self.free, self.lines) = (report.free, report.lines);
         }
         if Signal::of(report).is_some() {
             self.report = *report;
@@ -298,6 +301,12 @@
         self.mean_at = now;
     }
 
+    /// Lines that one call at each front would take, a share of all at the most: hundreds of fronts do not
+    /// send in the same instant.
+    fn lines_of_all(&self, fronts: f64) -> f64 {
+        self.lines.map_or(fronts, |lines| fronts.min(lines * LINE_SHARE))
+    }
+
     /// Mean rates asked for and stood over the fronts, where others told theirs lately; else this one's own.
     fn rates(&self, now: Micros) -> (f64, f64) {
         if self.mean_at > 0 && now.saturating_sub(self.mean_at) < STALE {
@@ -799,10 +808,11 @@
             }
         }
         let Some(pending) = self.calls.get(&id) else { return Vec::new() };
-        // The last lines, one for each front, are kept for calls of more worth than most.
+        // The last lines are kept for calls of more worth than most.
         let below = self.recent.iter().filter(|(w, _)| *w < pending.worth).count() as f64;
         let lowly = 1.0 - below / self.recent.len().max(1) as f64;
-        let reserve = if lowly < 0.5 { 0.0 } else { f64::from(self.settings.fronts) * lowly };
+        let reserve = if lowly < 0.5 { 0.0 } else { lowly };
+        let fronts = f64::from(self.settings.fronts);
         let call = &pending.call;
         let skilled = self.settings.classes.get(call.class).and_then(|class| class.servers.as_ref());
         let fits = |server: &Server| {
@@ -812,7 +822,7 @@
                 && (!call.in_transit || call.first_choice == Some(server.number))
                 && now >= server.down_until
                 && (!server.is_cold(now, ramp) || server.bucket >= 1.0)
-                && server.free.is_none_or(|free| free > reserve)
+                && server.free.is_none_or(|free| free > reserve * server.lines_of_all(fronts))
         };
         let mut allowed: Vec<_> = self.servers.iter().filter(|(_, s)| fits(s)).map(|(id, _)| *id).collect();
         if let Some(last) = pending.last.filter(|_| allowed.len() > 1) {
@@ -929,7 +939,8 @@
         }
         // Guards against a run on the last lines: every front sees the same few, so each counts them down
         // as if all sent alike, until it is told anew (which an own call's end does, freeing a line).
-        server.free = server.free.map(|free| free - f64::from(self.settings.fronts));
+        let taken = server.lines_of_all(f64::from(self.settings.fronts));
+        server.free = server.free.map(|free| free - taken);
         server.unanswered += 1;
         self.unanswered.insert((id, attempt), choice);
         let timeout = pending.answer_by.saturating_sub(now + MS).max(1);
