--- a/src/policy.rs
+++ b/src/policy.rs
@@ -845,11 +845,18 @@
         if direct.is_some() || allowed.len() < 2 {
             return direct.or(allowed.first()).copied();
         }
-        let one = (self.chance() * allowed.len() as f64) as usize;
-        let step = 1 + (self.chance() * (allowed.len() - 1) as f64) as usize;
-        let other = (one + step) % allowed.len();
-        let load = |i: usize| self.servers.get(&allowed[i]).map_or(u32::MAX, |s| s.unanswered);
-        Some(allowed[if load(other) < load(one) { other } else { one }])
+        self.emptier(&allowed)
+    }
+
+    /// Of two random servers the one with fewer of our set-ups unanswered. At a few set-ups a minute both
+    /// have none: then the one that refuses less.
+    fn emptier(&mut self, among: &[ServerId]) -> Option<ServerId> {
+        let n = among.len();
+        let one = (self.chance() * n as f64) as usize;
+        let step = 1 + (self.chance() * n.saturating_sub(1) as f64) as usize;
+        let two = [*among.get(one)?, among[(one + step) % n]];
+        let load = |id: &ServerId| self.servers.get(id).map_or((u32::MAX, 1.0), |s| (s.unanswered, s.alpha));
+        Some(if load(&two[1]) < load(&two[0]) { two[1] } else { two[0] })
     }
 
     /// Finds the call a server and sends it, holds it for its pace, or refuses it.
@@ -874,10 +881,10 @@
             // an allowed one with alpha at nought, as an upstream would try its next route after a 503.
             let clear = self.allowed(now, id);
             let clear: Vec<_> = clear.into_iter().filter(|s| self.clear(s)).collect();
-            let Some(next) = clear.iter().min_by_key(|id| self.servers.get(id).map(|s| s.unanswered)) else {
+            let Some(next) = self.emptier(&clear) else {
                 return self.turn_away(id, actions);
             };
-            choice = *next;
+            choice = next;
         }
         if paced {
             if let Some(server) = self.servers.get_mut(&choice) {
