--- a/src/policy.rs
+++ b/src/policy.rs
@@ -38,8 +38,9 @@
 const FULL_WAIT_S: f64 = 2.0;
 /// For so long after its last positive error a server counts as pressed ...
 const PRESSED: Micros = 4 * SECOND;
-/// ... and may be let through so many times what stood there, plus so many set-ups a second to start from.
-const STOOD_LIMIT: (f64, f64) = (1.4, 0.5);
+/// ... and may be let through so many times what stood there, plus so many set-ups a second, of all fronts
+/// together, to start from.
+const STOOD_LIMIT: (f64, f64) = (1.4, 3.0);
 /// Largest relative wait or queue error that the loop believes: one bad report must not refuse all.
 const ERROR_MAX: f64 = 4.0;
 /// Queue set-point where no rate is told: at least so many set-ups.
@@ -377,7 +378,7 @@
             self.pressed_at = Some(now);
         }
         if self.pressed_at.is_some_and(|at| now.saturating_sub(at) < PRESSED) && asked > 0.0 {
-            let bound = stood * STOOD_LIMIT.0 + STOOD_LIMIT.1;
+            let bound = stood * STOOD_LIMIT.0 + STOOD_LIMIT.1 / fronts;
             self.alpha = self.alpha.max(1.0 - bound / asked);
         }
         // Step 4: the pace. Queue and rate belong to all fronts; this one corrects its share.
