--- a/src/policy.rs
+++ b/src/policy.rs
@@ -308,9 +308,13 @@
         self.lines.map_or(fronts, |lines| fronts.min(lines * LINE_SHARE))
     }
 
+    fn knows_mean(&self, now: Micros) -> bool {
+        self.mean_at > 0 && now.saturating_sub(self.mean_at) < STALE
+    }
+
     /// Mean rates asked for and stood over the fronts, where others told theirs lately; else this one's own.
     fn rates(&self, now: Micros) -> (f64, f64) {
-        if self.mean_at > 0 && now.saturating_sub(self.mean_at) < STALE {
+        if self.knows_mean(now) {
             return (self.asked_mean, self.stood_mean);
         }
         (self.arrivals.read(now, ARRIVAL_LAG_S), self.stood.read(now, ARRIVAL_LAG_S))
@@ -381,6 +385,10 @@
             let bound = stood * STOOD_LIMIT.0 + STOOD_LIMIT.1 / fronts;
             self.alpha = self.alpha.max(1.0 - bound / asked);
         }
+        // A told rate bounds it too, where what all fronts ask for is known.
+        if let (Signal::Rate(rate), true) = (signal, self.knows_mean(now)) {
+            self.alpha = self.alpha.max(1.0 - rate / (asked * fronts).max(rate));
+        }
         // Step 4: the pace. Queue and rate belong to all fronts; this one corrects its share.
         if let (Some(rate), Some(queue)) = (sane(self.report.rate), sane(self.report.queue)) {
             let error = (TARGET_WAIT_S * rate - queue) / fronts;
