--- a/src/policy.rs
+++ b/src/policy.rs
@@ -63,8 +63,6 @@
 const RAMP_BURST_S: f64 = 0.3;
 /// ... and a set-up that was saved up and found no call is forgotten after this.
 const RAMP_KEEP: Micros = 3 * SECOND;
-/// At most this share of a server's lines is kept back, and counted off at each send.
-const LINE_SHARE: f64 = 0.1;
 /// Calls that the order of worth and the share of a number are judged on.
 const RECENT_CALLS: usize = 200;
 /// A number dialled by so many of the recent calls is in a flood.
@@ -302,10 +300,10 @@
         self.mean_at = now;
     }
 
-    /// Lines that one call at each front would take, a share of all at the most: hundreds of fronts do not
-    /// send in the same instant.
+    /// Lines that one call at each front would take; at most the root of all, by which lines in use vary:
+    /// hundreds of fronts do not send in the same instant.
     fn lines_of_all(&self, fronts: f64) -> f64 {
-        self.lines.map_or(fronts, |lines| fronts.min(lines * LINE_SHARE))
+        self.lines.map_or(fronts, |lines| fronts.min(lines.sqrt()))
     }
 
     fn knows_mean(&self, now: Micros) -> bool {
