--- a/src/policy.rs
+++ b/src/policy.rs
@@ -92,7 +92,7 @@
 /// s. ... as a rate with this lag.
 const HEARD_LAG_S: f64 = 4.0;
 /// s. A mean over fronts goes back to this front's own rate with this time constant.
-const MEAN_LAG_S: f64 = 4.0;
+const MEAN_LAG_S: f64 = 2.0;
 /// First byte of a message.
 const WORD_VERSION: u8 = 1;
 /// Bytes of a message, and of its part on one server.
