--- a/src/policy.rs
+++ b/src/policy.rs
@@ -41,6 +41,8 @@
 /// ... and may be let through so many times what stood there, plus so many set-ups a second, of all fronts
 /// together, to start from.
 const STOOD_LIMIT: (f64, f64) = (1.4, 3.0);
+/// ... and is let through at least this share of it, since a processor that drains its queue still works.
+const STOOD_FLOOR: f64 = 0.5;
 /// Largest relative wait or queue error that the loop believes: one bad report must not refuse all.
 const ERROR_MAX: f64 = 4.0;
 /// Queue set-point where no rate is told: at least so many set-ups.
@@ -381,7 +383,8 @@
         }
         if self.pressed_at.is_some_and(|at| now.saturating_sub(at) < PRESSED) && asked > 0.0 {
             let bound = stood * STOOD_LIMIT.0 + STOOD_LIMIT.1 / fronts;
-            self.alpha = self.alpha.max(1.0 - bound / asked);
+            let least = (stood * STOOD_FLOOR / asked).min(1.0);
+            self.alpha = self.alpha.max(1.0 - bound / asked).min(1.0 - least);
         }
         // A told rate bounds it too, where what all fronts ask for is known.
         if let (Signal::Rate(rate), true) = (signal, self.knows_mean(now)) {
