--- a/src/policy.rs
+++ b/src/policy.rs
@@ -41,8 +41,6 @@
 /// ... and may be let through so many times what stood there, plus so many set-ups a second, of all fronts
 /// together, to start from.
 const STOOD_LIMIT: (f64, f64) = (1.4, 3.0);
-/// ... and is let through at least this share of it, since a processor that drains its queue still works.
-const STOOD_FLOOR: f64 = 0.5;
 /// Largest relative wait or queue error that the loop believes: one bad report must not refuse all.
 const ERROR_MAX: f64 = 4.0;
 /// Queue set-point where no rate is told: at least so many set-ups.
@@ -88,7 +86,7 @@
 /// Time until a failed subscription is asked for again.
 const WATCH_AGAIN: Micros = SECOND;
 /// A front tells one other, drawn by chance, what it knows of the servers; mean time between messages ...
-const TELL_EVERY_S: f64 = 0.25;
+const TELL_EVERY_S: f64 = 0.125;
 /// ... of those that it hears of itself less often than this a second, ...
 const HEARD_ENOUGH: f64 = 2.0;
 /// s. ... as a rate with this lag.
@@ -97,6 +95,8 @@
 const MEAN_LAG_S: f64 = 2.0;
 /// First byte of a message.
 const WORD_VERSION: u8 = 1;
+/// A server at rest, with its error under this and alpha at nought, is told of in this share of messages.
+const REST: (f64, f64) = (-0.5, 0.15);
 /// Bytes of a message, and of its part on one server.
 const MESSAGE_MAX: usize = 256;
 const WORD_MAX: usize = 23;
@@ -281,6 +281,10 @@
         }
     }
 
+    fn is_at_rest(&self) -> bool {
+        self.alpha == 0.0 && self.filter.is_none_or(|filter| filter.value < REST.0)
+    }
+
     fn is_paced(&self) -> bool {
         sane(self.report.rate).is_some() && sane(self.report.queue).is_some()
     }
@@ -383,8 +387,7 @@
         }
         if self.pressed_at.is_some_and(|at| now.saturating_sub(at) < PRESSED) && asked > 0.0 {
             let bound = stood * STOOD_LIMIT.0 + STOOD_LIMIT.1 / fronts;
-            let least = (stood * STOOD_FLOOR / asked).min(1.0);
-            self.alpha = self.alpha.max(1.0 - bound / asked).min(1.0 - least);
+            self.alpha = self.alpha.max(1.0 - bound / asked);
         }
         // A told rate bounds it too, where what all fronts ask for is known.
         if let (Signal::Rate(rate), true) = (signal, self.knows_mean(now)) {
@@ -650,9 +653,12 @@
         let chance = self.chance();
         self.tell_at = now + micros(TELL_EVERY_S * if first { chance } else { 0.5 + chance });
         let mut payload = vec![WORD_VERSION];
+        let of_rest = self.chance() < REST.1;
         for (id, server) in &self.servers {
             let room = payload.len() + WORD_MAX <= MESSAGE_MAX;
+            let due = of_rest || !server.is_at_rest();
             if room
+                && due
                 && server.state == ServerState::Ready
                 && server.heard.read(now, HEARD_LAG_S) < HEARD_ENOUGH
             {
