--- a/src/policy.rs
+++ b/src/policy.rs
@@ -91,10 +91,8 @@
 const HEARD_ENOUGH: f64 = 2.0;
 /// s. ... as a rate with this lag.
 const HEARD_LAG_S: f64 = 4.0;
-/// Set-ups a second from which on this front's own count is the quicker measure and as good.
-const COUNTED_WELL: f64 = 2.0;
 /// s. A mean over fronts goes back to this front's own rate with this time constant.
-const MEAN_LAG_S: f64 = 2.0;
+const MEAN_LAG_S: f64 = 2.5;
 /// First byte of a message.
 const WORD_VERSION: u8 = 1;
 /// A server at rest, with its error under this and alpha at nought, is told of in this share of messages.
@@ -320,11 +318,10 @@
 
     /// Mean rates asked for and stood over the fronts, where others told theirs lately; else this one's own.
     fn rates(&self, now: Micros) -> (f64, f64) {
-        let own = (self.arrivals.read(now, ARRIVAL_LAG_S), self.stood.read(now, ARRIVAL_LAG_S));
-        if own.0 < COUNTED_WELL && self.knows_mean(now) {
+        if self.knows_mean(now) {
             return (self.asked_mean, self.stood_mean);
         }
-        own
+        (self.arrivals.read(now, ARRIVAL_LAG_S), self.stood.read(now, ARRIVAL_LAG_S))
     }
 
     /// Steps 1 and 2: reported load to reject fraction.
