Own stalls told by the late tick: their turn learns no waits, fills no bucket and hears all before it sends

Also holds against a paused process or a starved machine; could hurt where ticks are late for long without a stall: reports then count as old.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -15,6 +15,8 @@
 
 /// Time between loop ticks: well under the age of reports, which is the loop's real delay.
 const TICK: Micros = 50 * MS;
+/// A tick so late means that this front itself stood still.
+const STALLED: Micros = 150 * MS;
 /// s. Lag of the low-pass filter on reported load (the paper's 0.1 s).
 const LOAD_LAG_S: f64 = 0.1;
 /// Set-point of a told utilisation; the most the design allows, since all below it is idle capacity.
@@ -517,6 +519,9 @@
     /// When a number was dialled first, for as long as its caller may still try.
     dialled: BTreeMap<u64, Micros>,
     ticked_at: Option<Micros>,
+    /// The last turn after a stall, and how long that was.
+    woke_at: Option<Micros>,
+    overslept: Micros,
     tell_at: Micros,
     logged_at: Option<Micros>,
     watching: bool,
@@ -540,6 +545,8 @@
             recent: VecDeque::new(),
             dialled: BTreeMap::new(),
             ticked_at: None,
+            woke_at: None,
+            overslept: 0,
             tell_at: 0,
             logged_at: None,
             watching: false,
@@ -554,8 +561,15 @@
             actions.push(Action::Watch);
         }
         if self.ticked_at.is_none_or(|at| now >= at.saturating_add(TICK)) {
-            self.tick(now, actions);
+            let late = self.ticked_at.map_or(0, |at| now.saturating_sub(at + TICK));
+            if late > STALLED {
+                self.wake(now, late, actions);
+            } else {
+                self.tick(now, actions);
+            }
         }
+        // What is found after a stall was told some time during it.
+        let told_at = if self.woke_at == Some(now) { now.saturating_sub(self.overslept) } else { now };
         match event {
             Event::List(kind, entries) => self.list(now, kind, &entries, actions),
             Event::Call(call) => self.call(now, call, actions),
@@ -565,7 +579,9 @@
                 }
                 self.answered(call, attempt);
                 if let Some(server) = self.servers.get_mut(&server) {
-                    server.see_lag(now, lag);
+                    if told_at == now {
+                        server.see_lag(now, lag);
+                    }
                     server.stood.count(now, ARRIVAL_LAG_S);
                     if !server.is_cold(now, self.settings.ramp_time) {
                         self.carried.entry(server.number).or_default().count(now, CARRIED_LAG_S);
@@ -575,7 +591,7 @@
             Event::Ended { call, attempt, server, outcome, lag, complete, note, report } => {
                 self.answered(call, attempt);
                 if let Some(server) = self.servers.get_mut(&server) {
-                    server.note_report(now, &report);
+                    server.note_report(told_at, &report);
                 }
                 self.attempt_ended(now, server, (outcome, lag, note), actions);
                 let ours = self.calls.get(&call).is_some_and(|p| p.out == Some((attempt, server)));
@@ -590,14 +606,14 @@
             }
             Event::Probed { server, report, .. } => {
                 if let Some(server) = self.servers.get_mut(&server) {
-                    server.note_report(now, &report);
+                    server.note_report(told_at, &report);
                 }
             }
             Event::Peer { from, payload } if from < self.settings.fronts => {
                 for word in Word::read_all(&payload).unwrap_or_default() {
                     let named = self.servers.iter_mut().find(|(id, _)| Word::key(**id) == word.key);
                     if let Some((_, server)) = named {
-                        server.note_word(now, &word);
+                        server.note_word(told_at, &word);
                     }
                 }
             }
@@ -614,6 +630,17 @@
         }
     }
 
+    /// This front itself stood still, as the lateness of its own tick tells. Guards against learning from it:
+    /// set-up times are no waits, buckets are not refilled, loops do not integrate, and all that the turn
+    /// finds is heard, drains above all, before anything is sent.
+    fn wake(&mut self, now: Micros, late: Micros, actions: &mut Vec<Action>) {
+        (self.woke_at, self.overslept, self.ticked_at) = (Some(now), late, Some(now));
+        actions.push(Action::Timer { at: now + TICK, token: TOKEN_TICK });
+        for server in self.servers.values_mut() {
+            server.bucket_at = now;
+        }
+    }
+
     fn tick(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let dt_s = self.ticked_at.map_or(0.0, |at| seconds(now.saturating_sub(at)));
         self.ticked_at = Some(now);
@@ -883,6 +910,9 @@
         if late || tries >= self.settings.max_attempts {
             return self.turn_away(id, actions);
         }
+        if self.woke_at == Some(now) {
+            return actions.push(Action::Timer { at: now + 1, token: u64::from(id) << 2 | TOKEN_RESEND });
+        }
         let Some(choice) = self.choose(now, id) else {
             return self.turn_away(id, actions);
         };
@@ -1006,7 +1036,7 @@
                 server.down_until = now + micros(DOWN_PAUSE_S * (0.5 + chance));
                 self.log(now, text, actions);
             }
-            Outcome::Timeout => server.see_wait(now, seconds(lag)),
+            Outcome::Timeout if self.woke_at != Some(now) => server.see_wait(now, seconds(lag)),
             _ => {}
         }
     }
