--- a/src/policy.rs
+++ b/src/policy.rs
@@ -267,6 +267,11 @@
         self.seen_at = now;
     }
 
+    /// Whether a set-up was seen, here or by another front, to stand without a wait since then.
+    fn stood_since(&self, at: Micros) -> bool {
+        self.seen_at > at && self.seen_wait_s < TARGET_WAIT_S
+    }
+
     fn see_lag(&mut self, now: Micros, lag: Micros) {
         self.least_lag = self.least_lag.min(lag);
         self.see_wait(now, seconds(lag - self.least_lag));
@@ -1036,7 +1041,10 @@
                 server.down_until = now + micros(DOWN_PAUSE_S * (0.5 + chance));
                 self.log(now, text, actions);
             }
-            Outcome::Timeout if self.woke_at != Some(now) => server.see_wait(now, seconds(lag)),
+            // Answers get lost too: where a set-up sent no earlier stood at once, it is no sign of load.
+            Outcome::Timeout if self.woke_at != Some(now) && !server.stood_since(now - lag.min(now)) => {
+                server.see_wait(now, seconds(lag));
+            }
             _ => {}
         }
     }
