--- a/src/policy.rs
+++ b/src/policy.rs
@@ -81,6 +81,8 @@
 const MARGIN: Micros = 30 * MS;
 /// A set-up with less time than this left is not sent.
 const LEAST_TIME: Micros = 100 * MS;
+/// A set-up at a server that refuses nothing is given up after this fraction of its class's aim.
+const LOST_AFTER: f64 = 0.5;
 /// Slack on the release guard, for rounding of clocks.
 const GUARD_SLACK: Micros = 2 * MS;
 /// Time between probes of one server where reports come only by probe.
@@ -1001,7 +1003,19 @@
         server.free = server.free.map(|free| free - taken);
         server.unanswered += 1;
         self.unanswered.insert((id, attempt), choice);
-        let timeout = pending.answer_by.saturating_sub(now + MS).max(1);
+        let mut timeout = pending.answer_by.saturating_sub(now + MS).max(1);
+        // Guards against answers that get lost: at a server that is not pressed a set-up stands soon or
+        // never, and a class that is safe to repeat has time for another. Could hurt where a processor
+        // slows in between: the work of the first is lost.
+        let class = self.settings.classes.get(pending.call.class);
+        if class.is_some_and(|c| c.repeat == Repeat::Safe) && server.alpha == 0.0 {
+            let soon = class.map_or(timeout, |c| (c.aim as f64 * LOST_AFTER) as Micros);
+            if pending.attempts < self.settings.max_attempts
+                && timeout > soon + self.settings.release_guard + LEAST_TIME
+            {
+                timeout = soon;
+            }
+        }
         actions.push(Action::Send { call: id, server: choice, timeout });
     }
 
