--- a/src/policy.rs
+++ b/src/policy.rs
@@ -81,8 +81,11 @@
 const MARGIN: Micros = 30 * MS;
 /// A set-up with less time than this left is not sent.
 const LEAST_TIME: Micros = 100 * MS;
-/// A set-up at a server that refuses nothing is given up after this fraction of its class's aim.
+/// While answers get lost, a set-up is given up after this fraction of its class's aim.
 const LOST_AFTER: f64 = 0.5;
+/// Weight of the last time-out in the share of those that were lost answers, and the share that counts.
+const LOST_WEIGHT: f64 = 0.2;
+const LOST_MOSTLY: f64 = 0.6;
 /// Slack on the release guard, for rounding of clocks.
 const GUARD_SLACK: Micros = 2 * MS;
 /// Time between probes of one server where reports come only by probe.
@@ -529,6 +532,8 @@
     /// The last turn after a stall, and how long that was.
     woke_at: Option<Micros>,
     overslept: Micros,
+    /// Share of the latest time-outs that were answers lost.
+    lost: f64,
     tell_at: Micros,
     logged_at: Option<Micros>,
     watching: bool,
@@ -554,6 +559,7 @@
             ticked_at: None,
             woke_at: None,
             overslept: 0,
+            lost: 0.0,
             tell_at: 0,
             logged_at: None,
             watching: false,
@@ -1004,11 +1010,11 @@
         server.unanswered += 1;
         self.unanswered.insert((id, attempt), choice);
         let mut timeout = pending.answer_by.saturating_sub(now + MS).max(1);
-        // Guards against answers that get lost: at a server that is not pressed a set-up stands soon or
-        // never, and a class that is safe to repeat has time for another. Could hurt where a processor
-        // slows in between: the work of the first is lost.
+        // Guards against answers that get lost, while most time-outs are of that kind: at a server that is
+        // not pressed a set-up stands soon or never, and a class that is safe to repeat has time for
+        // another. Could hurt where a processor slows in between: the work of the first is lost.
         let class = self.settings.classes.get(pending.call.class);
-        if class.is_some_and(|c| c.repeat == Repeat::Safe) && server.alpha == 0.0 {
+        if class.is_some_and(|c| c.repeat == Repeat::Safe) && self.lost > LOST_MOSTLY {
             let soon = class.map_or(timeout, |c| (c.aim as f64 * LOST_AFTER) as Micros);
             if pending.attempts < self.settings.max_attempts
                 && timeout > soon + self.settings.release_guard + LEAST_TIME
@@ -1056,8 +1062,12 @@
                 self.log(now, text, actions);
             }
             // Answers get lost too: where a set-up sent no earlier stood at once, it is no sign of load.
-            Outcome::Timeout if self.woke_at != Some(now) && !server.stood_since(now - lag.min(now)) => {
-                server.see_wait(now, seconds(lag));
+            Outcome::Timeout if self.woke_at != Some(now) => {
+                let lost = server.stood_since(now - lag.min(now));
+                self.lost += (f64::from(u8::from(lost)) - self.lost) * LOST_WEIGHT;
+                if !lost {
+                    server.see_wait(now, seconds(lag));
+                }
             }
             _ => {}
         }
