--- a/src/policy.rs
+++ b/src/policy.rs
@@ -84,8 +84,8 @@
 /// While answers get lost, a set-up is given up after this fraction of its class's aim.
 const LOST_AFTER: f64 = 0.5;
 /// Weight of the last time-out in the share of those that were lost answers, and the share that counts.
-const LOST_WEIGHT: f64 = 0.2;
-const LOST_MOSTLY: f64 = 0.6;
+const LOST_WEIGHT: f64 = 0.4;
+const LOST_MOSTLY: f64 = 0.5;
 /// Slack on the release guard, for rounding of clocks.
 const GUARD_SLACK: Micros = 2 * MS;
 /// Time between probes of one server where reports come only by probe.
