--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,6 +43,8 @@
 /// ... and may be let through so many times what stood there, plus so many set-ups a second, of all fronts
 /// together, to start from.
 const STOOD_LIMIT: (f64, f64) = (1.4, 3.0);
+/// s. Without a positive error that doubles in this time: no cliff at which all fronts send at once.
+const STOOD_DOUBLES_S: f64 = 1.0;
 /// Largest relative wait or queue error that the loop believes: one bad report must not refuse all.
 const ERROR_MAX: f64 = 4.0;
 /// Queue set-point where no rate is told: at least so many set-ups.
@@ -397,8 +399,10 @@
         if error > 0.0 && !matches!(signal, Signal::HoldBack(_)) {
             self.pressed_at = Some(now);
         }
-        if self.pressed_at.is_some_and(|at| now.saturating_sub(at) < PRESSED) && asked > 0.0 {
-            let bound = stood * STOOD_LIMIT.0 + STOOD_LIMIT.1 / fronts;
+        let rest = self.pressed_at.map_or(PRESSED, |at| now.saturating_sub(at));
+        if rest < PRESSED && asked > 0.0 {
+            let growth = (seconds(rest) / STOOD_DOUBLES_S).exp2();
+            let bound = stood * STOOD_LIMIT.0 * growth + STOOD_LIMIT.1 / fronts;
             self.alpha = self.alpha.max(1.0 - bound / asked);
         }
         // A told rate bounds it too, where what all fronts ask for is known.
