--- a/src/policy.rs
+++ b/src/policy.rs
@@ -948,6 +948,9 @@
                 return self.turn_away(id, actions);
             };
             choice = next;
+            if let Some(server) = self.servers.get_mut(&choice) {
+                server.arrivals.count(now, ARRIVAL_LAG_S);
+            }
         }
         if paced {
             if let Some(server) = self.servers.get_mut(&choice) {
