--- a/src/policy.rs
+++ b/src/policy.rs
@@ -940,13 +940,20 @@
         let refusal = self.refusal(alpha, worth);
         let mut choice = choice;
         if self.chance() < refusal {
-            // Guards against refusing a call while a processor idles: what one server refuses is offered to
-            // an allowed one with alpha at nought, as an upstream would try its next route after a 503.
-            let clear = self.allowed(now, id);
-            let clear: Vec<_> = clear.into_iter().filter(|s| self.clear(s)).collect();
-            let Some(next) = self.emptier(&clear) else {
+            // Guards against refusing a call while another processor has room: what one server refuses is
+            // offered once more, as an upstream would try its next route after a 503: to one with alpha at
+            // nought, else to another whose own alpha is drawn.
+            let mut others = self.allowed(now, id);
+            others.retain(|server| *server != choice);
+            let clear: Vec<_> = others.iter().copied().filter(|s| self.clear(s)).collect();
+            let Some(next) = self.emptier(if clear.is_empty() { &others } else { &clear }) else {
                 return self.turn_away(id, actions);
             };
+            let alpha = self.servers.get(&next).map_or(1.0, |server| server.alpha);
+            let refusal = self.refusal(alpha, worth);
+            if self.chance() < refusal {
+                return self.turn_away(id, actions);
+            }
             choice = next;
             if let Some(server) = self.servers.get_mut(&choice) {
                 server.arrivals.count(now, ARRIVAL_LAG_S);
