--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,12 +39,12 @@
 /// s. Wait taken for granted at a processor that answers 'full' without naming one.
 const FULL_WAIT_S: f64 = 2.0;
 /// For so long after its last positive error a server counts as pressed ...
-const PRESSED: Micros = 4 * SECOND;
+const PRESSED: Micros = 8 * SECOND;
 /// ... and may be let through so many times what stood there, plus so many set-ups a second, of all fronts
 /// together, to start from.
 const STOOD_LIMIT: (f64, f64) = (1.4, 3.0);
 /// s. Without a positive error that doubles in this time: no cliff at which all fronts send at once.
-const STOOD_DOUBLES_S: f64 = 1.0;
+const STOOD_DOUBLES_S: f64 = 2.0;
 /// Largest relative wait or queue error that the loop believes: one bad report must not refuse all.
 const ERROR_MAX: f64 = 4.0;
 /// Queue set-point where no rate is told: at least so many set-ups.
@@ -940,20 +940,13 @@
         let refusal = self.refusal(alpha, worth);
         let mut choice = choice;
         if self.chance() < refusal {
-            // Guards against refusing a call while another processor has room: what one server refuses is
-            // offered once more, as an upstream would try its next route after a 503: to one with alpha at
-            // nought, else to another whose own alpha is drawn.
-            let mut others = self.allowed(now, id);
-            others.retain(|server| *server != choice);
-            let clear: Vec<_> = others.iter().copied().filter(|s| self.clear(s)).collect();
-            let Some(next) = self.emptier(if clear.is_empty() { &others } else { &clear }) else {
+            // Guards against refusing a call while a processor idles: what one server refuses is offered to
+            // an allowed one with alpha at nought, as an upstream would try its next route after a 503.
+            let clear = self.allowed(now, id);
+            let clear: Vec<_> = clear.into_iter().filter(|s| self.clear(s)).collect();
+            let Some(next) = self.emptier(&clear) else {
                 return self.turn_away(id, actions);
             };
-            let alpha = self.servers.get(&next).map_or(1.0, |server| server.alpha);
-            let refusal = self.refusal(alpha, worth);
-            if self.chance() < refusal {
-                return self.turn_away(id, actions);
-            }
             choice = next;
             if let Some(server) = self.servers.get_mut(&choice) {
                 server.arrivals.count(now, ARRIVAL_LAG_S);
