--- a/src/interface.rs
+++ b/src/interface.rs
@@ -11,6 +11,9 @@
 /// Names one call at this front; never used twice.
 pub type CallId = u32;
 
+/// Most bytes of a message between fronts.
+pub const MESSAGE_MAX: usize = 256;
+
 /// What a repeat of a set-up that may have run already would do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Repeat {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -66,6 +66,9 @@
 #![forbid(unsafe_code)]
 
 pub mod interface;
+mod measure;
 mod policy;
+mod state;
+mod word;
 
 pub use policy::Controller;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,10 +5,13 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use rand_core::{RngCore, SeedableRng};
+use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
 use crate::interface::*;
+use crate::measure::{chance, lagged, micros, sane, seconds, Meter};
+use crate::state::{Ending, Pending, Server};
+use crate::word::{self, Word};
 
 const MS: Micros = 1_000;
 const SECOND: Micros = 1_000_000;
@@ -67,14 +70,8 @@
 const RAMP_BURST_S: f64 = 0.3;
 /// ... and a set-up that was saved up and found no call is forgotten after this.
 const RAMP_KEEP: Micros = 3 * SECOND;
-/// Calls that the order of worth and the share of a number are judged on.
+/// Calls that the order of worth is judged on.
 const RECENT_CALLS: usize = 200;
-/// A number dialled by so many of the recent calls is in a flood.
-const HOT_CALLS: usize = 10;
-/// Worth of a call to a flooded number, as a fraction.
-const HOT_WORTH: f64 = 0.1;
-/// A call that stood and was cut has already been served once: it goes before others.
-const CUT_WORTH: f64 = 1.5;
 /// s. Lag of a customer's arrival rate.
 const TENANT_LAG_S: f64 = 5.0;
 /// Mean pause after a failed connect; drawn by chance, so that fronts do not come back in step.
@@ -90,8 +87,9 @@
 const LOST_MOSTLY: f64 = 0.5;
 /// Slack on the release guard, for rounding of clocks.
 const GUARD_SLACK: Micros = 2 * MS;
-/// Time between probes of one server where reports come only by probe.
-const PROBE_EVERY: Micros = SECOND;
+/// Probes a second that one server gets of all fronts where reports come only by probe, and the shortest
+/// time between two of one front.
+const PROBES: (f64, Micros) = (8.0, SECOND);
 /// Time until a failed subscription is asked for again.
 const WATCH_AGAIN: Micros = SECOND;
 /// A front tells one other, drawn by chance, what it knows of the servers; mean time between messages ...
@@ -100,17 +98,8 @@
 const HEARD_ENOUGH: f64 = 2.0;
 /// s. ... as a rate with this lag.
 const HEARD_LAG_S: f64 = 4.0;
-/// s. A mean over fronts goes back to this front's own rate with this time constant.
-const MEAN_LAG_S: f64 = 2.5;
-/// First byte of a message.
-const WORD_VERSION: u8 = 1;
 /// A server at rest, with its error under this and alpha at nought, is told of in this share of messages.
 const REST: (f64, f64) = (-0.5, 0.15);
-/// Bytes of a message, and of its part on one server.
-const MESSAGE_MAX: usize = 256;
-const WORD_MAX: usize = 23;
-/// Unit of ages in messages.
-const WORD_AGE: Micros = 10 * MS;
 /// Least time between log lines.
 const LOG_EVERY: Micros = SECOND;
 
@@ -120,71 +109,6 @@
 const TOKEN_DEADLINE: u64 = 2;
 const TOKEN_RESEND: u64 = 3;
 
-fn seconds(span: Micros) -> f64 {
-    span as f64 / SECOND as f64
-}
-
-fn micros(seconds: f64) -> Micros {
-    (seconds * SECOND as f64) as Micros
-}
-
-/// A told value, unless it is none or nonsense.
-fn sane(value: Option<f64>) -> Option<f64> {
-    value.filter(|v| v.is_finite() && *v >= 0.0)
-}
-
-/// First-order low-pass filter over true elapsed time.
-#[derive(Debug, Clone, Copy)]
-struct LowPass {
-    value: f64,
-    lag_s: f64,
-}
-
-impl LowPass {
-    fn step(&mut self, input: f64, dt_s: f64) -> f64 {
-        self.value += (input - self.value) * (1.0 - (-dt_s / self.lag_s).exp());
-        self.value
-    }
-}
-
-/// Rate of events a second, lagged.
-#[derive(Debug, Clone, Copy, Default)]
-struct Meter {
-    rate: f64,
-    at: Micros,
-}
-
-impl Meter {
-    fn read(&self, now: Micros, lag_s: f64) -> f64 {
-        self.rate * (-seconds(now.saturating_sub(self.at)) / lag_s).exp()
-    }
-
-    fn count(&mut self, now: Micros, lag_s: f64) {
-        self.rate = self.read(now, lag_s) + 1.0 / lag_s;
-        self.at = now;
-    }
-}
-
-/// PI controller with a clamped output.
-#[derive(Debug, Clone, Copy, Default)]
-struct Pi {
-    integral: f64,
-}
-
-impl Pi {
-    /// One step of `dt_s`. Anti-windup: the integral stays within the output's own range and does not move
-    /// further where the output is at its limit already.
-    fn step(&mut self, error: f64, dt_s: f64, gains: (f64, f64), range: (f64, f64), unwind: f64) -> f64 {
-        let speed = if error < 0.0 { unwind } else { 1.0 };
-        let next = (self.integral + gains.1 * error * dt_s * speed).clamp(range.0, range.1);
-        let output = gains.0 * error + next;
-        if (output <= range.1 || error < 0.0) && (output >= range.0 || error > 0.0 || next > 0.0) {
-            self.integral = next;
-        }
-        (gains.0 * error + self.integral).clamp(range.0, range.1)
-    }
-}
-
 /// What drives a server's reject fraction, in order of choice where several values are told.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Signal {
@@ -208,72 +132,7 @@
     }
 }
 
-/// What this front knows of one server.
-#[derive(Debug, Default)]
-struct Server {
-    number: u16,
-    state: ServerState,
-    started_at: Option<Micros>,
-    /// It may be cold from this time on: told, or the last time nothing could be reached there.
-    cold_since: Option<Micros>,
-    free: Option<f64>,
-    lines: Option<f64>,
-    /// The newest load report, whoever heard it, and when it was heard.
-    report: Report,
-    reported_at: Micros,
-    /// This front knows of the process since then; older news is of another one.
-    known_at: Micros,
-    /// How often this front hears of the server itself.
-    heard: Meter,
-    /// The shortest and the latest set-up time that this front saw itself; the difference is waiting.
-    least_lag: Micros,
-    seen_wait_s: f64,
-    seen_at: Micros,
-    filter: Option<LowPass>,
-    pi: Pi,
-    /// The reject fraction.
-    alpha: f64,
-    unanswered: u32,
-    arrivals: Meter,
-    stood: Meter,
-    /// The same two, averaged over what fronts tell each other.
-    asked_mean: f64,
-    stood_mean: f64,
-    mean_at: Micros,
-    pressed_at: Option<Micros>,
-    pace: Pi,
-    pace_rate: f64,
-    held: VecDeque<CallId>,
-    bucket: f64,
-    bucket_at: Micros,
-    full_at: Micros,
-    down_until: Micros,
-    probed_at: Micros,
-}
-
 impl Server {
-    fn new(entry: &Entry, now: Micros) -> Self {
-        Self {
-            number: entry.number,
-            state: entry.state,
-            started_at: entry.started_at,
-            cold_since: entry.started_at,
-            least_lag: Micros::MAX,
-            known_at: now,
-            bucket_at: now,
-            ..Self::default()
-        }
-    }
-
-    fn is_cold(&self, now: Micros, ramp: Micros) -> bool {
-        self.cold_since.is_some_and(|since| now < since.saturating_add(ramp))
-    }
-
-    fn see_wait(&mut self, now: Micros, wait_s: f64) {
-        self.seen_wait_s = wait_s;
-        self.seen_at = now;
-    }
-
     /// Whether a set-up was seen, here or by another front, to stand without a wait since then.
     fn stood_since(&self, at: Micros) -> bool {
         self.seen_at > at && self.seen_wait_s < TARGET_WAIT_S
@@ -296,13 +155,25 @@
     }
 
     fn is_at_rest(&self) -> bool {
-        self.alpha == 0.0 && self.filter.is_none_or(|filter| filter.value < REST.0)
+        self.alpha == 0.0 && self.error.is_none_or(|error| error < REST.0)
     }
 
     fn is_paced(&self) -> bool {
         sane(self.report.rate).is_some() && sane(self.report.queue).is_some()
     }
 
+    /// What this front tells another of the server.
+    fn word(&self, now: Micros, id: ServerId) -> Word {
+        let age = |at: Micros| if at == 0 { Micros::MAX } else { now.saturating_sub(at) };
+        Word {
+            key: word::key(id),
+            report: self.report,
+            age: age(self.reported_at),
+            seen_wait_s: self.seen_wait_s,
+            seen_age: age(self.seen_at),
+        }
+    }
+
     /// What another front said of the server. Newest wins; it says nothing of its state or warmth.
     fn note_word(&mut self, now: Micros, word: &Word) {
         let newer = |age: Micros, than: Micros| {
@@ -315,9 +186,6 @@
         if let Some(at) = seen_at {
             self.see_wait(at, word.seen_wait_s);
         }
-        self.asked_mean = (self.asked_mean + word.asked) / 2.0;
-        self.stood_mean = (self.stood_mean + word.stood) / 2.0;
-        self.mean_at = now;
     }
 
     /// Lines that one call at each front would take; at most the root of all, by which lines in use vary:
@@ -326,24 +194,9 @@
         self.lines.map_or(fronts, |lines| fronts.min(lines.sqrt()))
     }
 
-    fn knows_mean(&self, now: Micros) -> bool {
-        self.mean_at > 0 && now.saturating_sub(self.mean_at) < STALE
-    }
-
-    /// Mean rates asked for and stood over the fronts, where others told theirs lately; else this one's own.
-    fn rates(&self, now: Micros) -> (f64, f64) {
-        if self.knows_mean(now) {
-            return (self.asked_mean, self.stood_mean);
-        }
-        (self.arrivals.read(now, ARRIVAL_LAG_S), self.stood.read(now, ARRIVAL_LAG_S))
-    }
-
     /// Steps 1 and 2: reported load to reject fraction.
     fn tick(&mut self, now: Micros, dt_s: f64, fronts: f64, carried: f64) {
-        let pull = 1.0 - (-dt_s / MEAN_LAG_S).exp();
-        self.asked_mean += (self.arrivals.read(now, ARRIVAL_LAG_S) - self.asked_mean) * pull;
-        self.stood_mean += (self.stood.read(now, ARRIVAL_LAG_S) - self.stood_mean) * pull;
-        let (asked, stood) = self.rates(now);
+        let (asked, stood) = (self.arrivals.read(now, ARRIVAL_LAG_S), self.stood.read(now, ARRIVAL_LAG_S));
         // Guards against surges that no report shows yet (cut calls coming back, a flood at this front): what
         // is unanswered here, over what the server took from here, is a wait. Few set-ups prove nothing.
         let backlog_s = (f64::from(self.unanswered) - BACKLOG_NOISE) / carried.max(0.1);
@@ -360,7 +213,7 @@
                 self.pi.integral = 0.0;
             }
             self.alpha = self.pi.integral.min(self.alpha);
-            self.filter = None;
+            self.error = None;
             self.pace_rate = asked;
             return;
         };
@@ -379,23 +232,23 @@
         };
         // Guards against reports that lie, lag or say too little (a rate or utilisation does not tell by how
         // much a processor is overrun): where the set-up times seen here are worse, they drive the loop.
-        let seen = self.seen_wait_s / TARGET_WAIT_S - 1.0;
-        let (error, gains) = match signal {
-            Signal::HoldBack(_) => (error, gains),
-            _ if !fresh => (error, gains),
-            Signal::Rate(_) => (seen.min(ERROR_MAX), WAIT_GAINS),
-            _ if seen <= 0.0 || error * gains.0 >= seen.min(ERROR_MAX) * WAIT_GAINS.0 => (error, gains),
-            _ => (seen.min(ERROR_MAX), WAIT_GAINS),
+        let seen = (self.seen_wait_s / TARGET_WAIT_S - 1.0).min(ERROR_MAX);
+        let worse = match signal {
+            Signal::HoldBack(_) => false,
+            Signal::Rate(_) => fresh,
+            _ => fresh && seen > 0.0 && seen * WAIT_GAINS.0 > error * gains.0,
         };
-        let filter = self.filter.get_or_insert(LowPass { value: error, lag_s: LOAD_LAG_S });
-        let error = filter.step(error, dt_s);
+        let (error, gains) = if worse { (seen, WAIT_GAINS) } else { (error, gains) };
+        let before = self.error.unwrap_or(error);
+        let error = before + (error - before) * lagged(dt_s, LOAD_LAG_S);
+        self.error = Some(error);
         self.alpha = match signal {
             Signal::HoldBack(_) => error.clamp(0.0, 1.0),
             _ => self.pi.step(error, dt_s, gains, (0.0, 1.0), UNWIND),
         };
         // Guards against swings under heavy overload, when redials ask for many times the capacity and a
         // small fall of alpha overruns the processor again: while pressed, what stood lately bounds what is
-        // let through. Could hurt where capacity comes back at a stroke; it then doubles every few seconds.
+        // let through. Could hurt where capacity comes back at a stroke.
         if error > 0.0 && !matches!(signal, Signal::HoldBack(_)) {
             self.pressed_at = Some(now);
         }
@@ -405,10 +258,6 @@
             let bound = stood * STOOD_LIMIT.0 * growth + STOOD_LIMIT.1 / fronts;
             self.alpha = self.alpha.max(1.0 - bound / asked);
         }
-        // A told rate bounds it too, where what all fronts ask for is known.
-        if let (Signal::Rate(rate), true) = (signal, self.knows_mean(now)) {
-            self.alpha = self.alpha.max(1.0 - rate / (asked * fronts).max(rate));
-        }
         // Step 4: the pace. Queue and rate belong to all fronts; this one corrects its share.
         if let (Some(rate), Some(queue)) = (sane(self.report.rate), sane(self.report.queue)) {
             let error = (TARGET_WAIT_S * rate - queue) / fronts;
@@ -437,86 +286,6 @@
     }
 }
 
-/// What one front tells another of one server: load report, wait seen, both with their age, and rates.
-#[derive(Debug, Default)]
-struct Word {
-    key: u32,
-    report: Report,
-    age: Micros,
-    seen_wait_s: f64,
-    seen_age: Micros,
-    asked: f64,
-    stood: f64,
-}
-
-impl Word {
-    /// Servers are named by a fold of their id; the ids of a list differ in it but for great bad luck.
-    fn key(id: ServerId) -> u32 {
-        (id ^ (id >> 32)) as u32
-    }
-
-    fn write(now: Micros, id: ServerId, server: &Server, out: &mut Vec<u8>) {
-        let age = |at: Micros| (now.saturating_sub(at) / WORD_AGE).min(255) as u8;
-        let report = &server.report;
-        let told = [report.hold_back, report.wait_s, report.queue, report.rate, report.busy].map(sane);
-        let mask = told.iter().enumerate().map(|(i, v)| u8::from(v.is_some()) << i).sum();
-        let seen = [server.seen_wait_s, server.asked_mean, server.stood_mean];
-        out.extend(Self::key(id).to_le_bytes());
-        out.extend([mask, age(server.reported_at), age(server.seen_at)]);
-        for value in told.into_iter().flatten().chain(seen) {
-            out.extend(((value as f32).to_bits() >> 16).to_le_bytes().into_iter().take(2));
-        }
-    }
-
-    /// All of a message, or nothing where any of it is wrong.
-    fn read_all(payload: &[u8]) -> Option<Vec<Self>> {
-        let mut bytes = payload.strip_prefix(&[WORD_VERSION])?;
-        let mut words = Vec::new();
-        while let Some((head, rest)) = bytes.split_first_chunk::<7>() {
-            bytes = rest;
-            let [k0, k1, k2, k3, mask, age, seen_age] = *head;
-            let mut value = || {
-                let (raw, rest) = bytes.split_first_chunk::<2>()?;
-                bytes = rest;
-                sane(Some(f64::from(f32::from_bits(u32::from(u16::from_le_bytes(*raw)) << 16))))
-            };
-            let mut told = [None; 5];
-            for (_, place) in told.iter_mut().enumerate().filter(|(i, _)| mask >> i & 1 == 1) {
-                *place = Some(value()?);
-            }
-            let [hold_back, wait_s, queue, rate, busy] = told;
-            let at = |age: u8| if age == 255 { Micros::MAX } else { Micros::from(age) * WORD_AGE };
-            words.push(Self {
-                key: u32::from_le_bytes([k0, k1, k2, k3]),
-                report: Report { hold_back, wait_s, queue, rate, busy, ..Report::default() },
-                age: if mask == 0 { Micros::MAX } else { at(age) },
-                seen_age: at(seen_age),
-                seen_wait_s: value()?,
-                asked: value()?,
-                stood: value()?,
-            });
-        }
-        bytes.is_empty().then_some(words)
-    }
-}
-
-/// A call that is owed an answer.
-#[derive(Debug, Default)]
-struct Pending {
-    call: Call,
-    worth: f64,
-    aim_at: Micros,
-    answer_by: Micros,
-    attempts: u32,
-    out: Option<(u16, ServerId)>,
-    last: Option<ServerId>,
-    held_at: Option<ServerId>,
-    not_before: Micros,
-    /// When the first attempt that may have run was sent.
-    may_have_run: Option<Micros>,
-    sent_at: Micros,
-}
-
 /// The decisions of one front. See the crate's page for how to embed it.
 #[derive(Debug)]
 pub struct Controller {
@@ -529,18 +298,17 @@
     arrivals: Meter,
     /// Set-ups a second that stood at warm servers, by number: as of the last one, so a pause keeps it.
     carried: BTreeMap<u16, Meter>,
-    recent: VecDeque<(f64, u64)>,
+    /// Worth of the latest calls.
+    recent: VecDeque<f64>,
     /// When a number was dialled first, for as long as its caller may still try.
     dialled: BTreeMap<u64, Micros>,
     ticked_at: Option<Micros>,
-    /// The last turn after a stall, and how long that was.
-    woke_at: Option<Micros>,
-    overslept: Micros,
+    /// This turn, and since when what it finds may have waited: earlier after an own stall.
+    turn: (Micros, Micros),
     /// Share of the latest time-outs that were answers lost.
     lost: f64,
     tell_at: Micros,
     logged_at: Option<Micros>,
-    watching: bool,
 }
 
 impl Controller {
@@ -561,22 +329,22 @@
             recent: VecDeque::new(),
             dialled: BTreeMap::new(),
             ticked_at: None,
-            woke_at: None,
-            overslept: 0,
+            turn: (0, 0),
             lost: 0.0,
             tell_at: 0,
             logged_at: None,
-            watching: false,
             settings,
         })
     }
 
     /// Takes one event at a time that never goes back, and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
-        if self.settings.subscribe && !self.watching {
-            self.watching = true;
+        if self.settings.subscribe && self.ticked_at.is_none() {
             actions.push(Action::Watch);
         }
+        if self.turn.0 != now {
+            self.turn = (now, now);
+        }
         if self.ticked_at.is_none_or(|at| now >= at.saturating_add(TICK)) {
             let late = self.ticked_at.map_or(0, |at| now.saturating_sub(at + TICK));
             if late > STALLED {
@@ -585,8 +353,7 @@
                 self.tick(now, actions);
             }
         }
-        // What is found after a stall was told some time during it.
-        let told_at = if self.woke_at == Some(now) { now.saturating_sub(self.overslept) } else { now };
+        let told_at = self.turn.1;
         match event {
             Event::List(kind, entries) => self.list(now, kind, &entries, actions),
             Event::Call(call) => self.call(now, call, actions),
@@ -610,12 +377,13 @@
                 if let Some(server) = self.servers.get_mut(&server) {
                     server.note_report(told_at, &report);
                 }
-                self.attempt_ended(now, server, (outcome, lag, note), actions);
+                let end = Ending { outcome, lag, note };
+                self.attempt_ended(now, server, &end, actions);
                 let ours = self.calls.get(&call).is_some_and(|p| p.out == Some((attempt, server)));
                 if complete {
                     self.calls.remove(&call);
                 } else if ours {
-                    self.after_failure(now, call, outcome, note, actions);
+                    self.after_failure(now, call, &end, actions);
                 }
             }
             Event::Abandoned(call) => {
@@ -627,9 +395,9 @@
                 }
             }
             Event::Peer { from, payload } if from < self.settings.fronts => {
-                for word in Word::read_all(&payload).unwrap_or_default() {
-                    let named = self.servers.iter_mut().find(|(id, _)| Word::key(**id) == word.key);
-                    if let Some((_, server)) = named {
+                for word in word::read(&payload).unwrap_or_default() {
+                    let mut named = self.servers.iter_mut().filter(|(id, _)| word::key(**id) == word.key);
+                    if let Some((_, server)) = named.next() {
                         server.note_word(told_at, &word);
                     }
                 }
@@ -651,38 +419,46 @@
     /// set-up times are no waits, buckets are not refilled, loops do not integrate, and all that the turn
     /// finds is heard, drains above all, before anything is sent.
     fn wake(&mut self, now: Micros, late: Micros, actions: &mut Vec<Action>) {
-        (self.woke_at, self.overslept, self.ticked_at) = (Some(now), late, Some(now));
+        (self.turn.1, self.ticked_at) = (now - late, Some(now));
         actions.push(Action::Timer { at: now + TICK, token: TOKEN_TICK });
         for server in self.servers.values_mut() {
             server.bucket_at = now;
         }
     }
 
+    fn probe_every(&self) -> Micros {
+        PROBES.1.max(micros(f64::from(self.settings.fronts) / PROBES.0))
+    }
+
+    fn has_slept(&self) -> bool {
+        self.turn.1 < self.turn.0
+    }
+
     fn tick(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let dt_s = self.ticked_at.map_or(0.0, |at| seconds(now.saturating_sub(at)));
         self.ticked_at = Some(now);
         actions.push(Action::Timer { at: now + TICK, token: TOKEN_TICK });
+        let ramp = self.settings.ramp_time;
+        let cold = self.servers.iter().filter(|(_, server)| server.is_cold(now, ramp));
+        let rates: Vec<_> = cold.map(|(id, server)| (*id, self.ramp_rate(now, server))).collect();
+        for (id, rate) in rates {
+            let drawn = chance(&mut self.rng);
+            if let Some(server) = self.servers.get_mut(&id) {
+                server.fill_cold(now, rate, drawn);
+            }
+        }
         let probing = self.settings.reports == ReportPath::Probes && self.settings.may_probe;
-        let mut due = Vec::new();
+        let probe_every = self.probe_every();
         for (id, server) in &mut self.servers {
             let carried = self.carried.get(&server.number).map_or(0.0, |meter| meter.rate);
             server.tick(now, dt_s, f64::from(self.settings.fronts), carried);
-            if probing
-                && server.state == ServerState::Ready
-                && now >= server.probed_at.saturating_add(PROBE_EVERY)
-            {
-                server.probed_at = now;
+            if probing && server.state == ServerState::Ready && now >= server.probe_at {
+                server.probe_at = now + probe_every;
                 actions.push(Action::Probe(*id));
             }
-            if !server.held.is_empty() {
-                due.push(*id);
-            }
         }
         let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         self.dialled.retain(|_, at| now < at.saturating_add(longest));
-        for id in due {
-            self.release(now, id, actions);
-        }
         self.tell(now, actions);
     }
 
@@ -693,24 +469,18 @@
         if !self.settings.may_tell_peers || others == 0 || now < self.tell_at {
             return;
         }
-        let first = self.tell_at == 0;
-        let chance = self.chance();
-        self.tell_at = now + micros(TELL_EVERY_S * if first { chance } else { 0.5 + chance });
-        let mut payload = vec![WORD_VERSION];
-        let of_rest = self.chance() < REST.1;
-        for (id, server) in &self.servers {
-            let room = payload.len() + WORD_MAX <= MESSAGE_MAX;
-            let due = of_rest || !server.is_at_rest();
-            if room
-                && due
-                && server.state == ServerState::Ready
+        let (first, drawn) = (self.tell_at == 0, chance(&mut self.rng));
+        self.tell_at = now + micros(TELL_EVERY_S * if first { drawn } else { 0.5 + drawn });
+        let of_rest = chance(&mut self.rng) < REST.1;
+        let due = |server: &Server| {
+            server.state == ServerState::Ready
                 && server.heard.read(now, HEARD_LAG_S) < HEARD_ENOUGH
-            {
-                Word::write(now, *id, server, &mut payload);
-            }
-        }
-        if !first && payload.len() > 1 {
-            let to = (self.chance() * f64::from(others)) as u32;
+                && (of_rest || !server.is_at_rest())
+        };
+        let words = self.servers.iter().filter(|(_, server)| due(server));
+        let payload = word::write(words.map(|(id, server)| server.word(now, *id)), MESSAGE_MAX);
+        if let Some(payload) = payload.filter(|_| !first) {
+            let to = (chance(&mut self.rng) * f64::from(others)) as u32;
             let to = if to >= self.settings.ordinal { to + 1 } else { to };
             actions.push(Action::TellPeer { to, payload });
         }
@@ -731,39 +501,21 @@
                 continue;
             }
             let known = self.servers.get_mut(&entry.server);
-            match known.filter(|server| server.started_at == entry.started_at) {
-                Some(server) => {
-                    server.number = entry.number;
-                    server.state = entry.state;
-                }
-                None => {
-                    // A new process: nothing learnt of the old one holds.
-                    let fresh = Server { bucket: self.chance(), ..Server::new(entry, now) };
-                    let held = self.servers.insert(entry.server, fresh).map(|old| old.held);
-                    self.rehome(now, held, actions);
-                    if entry.started_at.is_some_and(|at| now < at + self.settings.ramp_time) {
-                        let text = format!("cold start: server number {} ramps", entry.number);
-                        self.log(now, text, actions);
-                    }
-                }
+            if let Some(server) = known.filter(|server| server.started_at == entry.started_at) {
+                (server.number, server.state) = (entry.number, entry.state);
+                continue;
             }
-            if entry.state == ServerState::Draining {
-                let held = self.servers.get_mut(&entry.server).map(|s| std::mem::take(&mut s.held));
-                self.rehome(now, held, actions);
+            // A new process: nothing learnt of the old one holds.
+            let drawn = chance(&mut self.rng);
+            let probe_at = now + micros(drawn * seconds(self.probe_every()));
+            let fresh = Server { bucket: drawn, probe_at, ..Server::new(entry, now) };
+            self.servers.insert(entry.server, fresh);
+            if entry.started_at.is_some_and(|at| now < at + self.settings.ramp_time) {
+                self.log(now, format!("cold start: server number {} ramps", entry.number), actions);
             }
         }
         for id in leaving {
-            let held = self.servers.remove(&id).map(|server| server.held);
-            self.rehome(now, held, actions);
-        }
-    }
-
-    /// Calls held for a server that takes nothing more are placed anew.
-    fn rehome(&mut self, now: Micros, held: Option<VecDeque<CallId>>, actions: &mut Vec<Action>) {
-        for id in held.into_iter().flatten() {
-            if self.calls.get_mut(&id).is_some_and(|p| p.held_at.take().is_some()) {
-                self.place(now, id, actions);
-            }
+            self.servers.remove(&id);
         }
     }
 
@@ -790,7 +542,7 @@
             worth *= self.settings.classes[call.class].late_worth;
         }
         let aim_at = aim_at.max(now).min(answer_by);
-        self.recent.push_back((worth, call.number));
+        self.recent.push_back(worth);
         if self.recent.len() > RECENT_CALLS {
             self.recent.pop_front();
         }
@@ -813,26 +565,21 @@
                 worth *= (mean * 4.0).round() / 4.0;
             }
         }
-        let same = self.recent.iter().filter(|(_, number)| *number == call.number).count();
-        if call.number != 0 && same >= HOT_CALLS {
-            worth *= HOT_WORTH;
-        }
-        if call.was_cut {
-            worth *= CUT_WORTH;
-        }
         worth
     }
 
-    /// The reject fraction, spent on calls of low worth first; its mean over recent calls stays alpha.
-    fn refusal(&self, alpha: f64, worth: f64) -> f64 {
+    /// Shares of recent calls that are worth less than this, and as much.
+    fn rank(&self, worth: f64) -> (f64, f64) {
         let total = self.recent.len().max(1) as f64;
-        let below = self.recent.iter().filter(|(w, _)| *w < worth).count() as f64 / total;
-        let equal = self.recent.iter().filter(|(w, _)| *w == worth).count() as f64 / total;
-        ((alpha - below) / equal.max(1.0 / total)).clamp(0.0, 1.0)
+        let share =
+            |those: &dyn Fn(f64) -> bool| self.recent.iter().filter(|w| those(**w)).count() as f64 / total;
+        (share(&|w| w < worth), share(&|w| w == worth).max(1.0 / total))
     }
 
-    fn chance(&mut self) -> f64 {
-        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    /// The reject fraction, spent on calls of low worth first; its mean over recent calls stays alpha.
+    fn refusal(&self, alpha: f64, worth: f64) -> f64 {
+        let (below, equal) = self.rank(worth);
+        ((alpha - below) / equal).clamp(0.0, 1.0)
     }
 
     /// Set-ups a second that this front may send to a cold server: its own share of what the server's number
@@ -856,21 +603,11 @@
     }
 
     /// Servers that may take the call now.
-    fn allowed(&mut self, now: Micros, id: CallId) -> Vec<ServerId> {
+    fn allowed(&self, now: Micros, id: CallId) -> Vec<ServerId> {
         let ramp = self.settings.ramp_time;
-        let cold: Vec<_> =
-            self.servers.iter().filter(|(_, s)| s.is_cold(now, ramp)).map(|(id, _)| *id).collect();
-        for id in cold {
-            let rate = self.servers.get(&id).map_or(0.0, |server| self.ramp_rate(now, server));
-            let chance = self.chance();
-            if let Some(server) = self.servers.get_mut(&id) {
-                server.fill_cold(now, rate, chance);
-            }
-        }
         let Some(pending) = self.calls.get(&id) else { return Vec::new() };
         // The last lines are kept for calls of more worth than most.
-        let below = self.recent.iter().filter(|(w, _)| *w < pending.worth).count() as f64;
-        let lowly = 1.0 - below / self.recent.len().max(1) as f64;
+        let lowly = 1.0 - self.rank(pending.worth).0;
         let reserve = if lowly < 0.5 { 0.0 } else { lowly };
         let fronts = f64::from(self.settings.fronts);
         let call = &pending.call;
@@ -891,34 +628,37 @@
         allowed
     }
 
-    /// Whether a server shows free lines and refuses nothing.
     fn clear(&self, id: &ServerId) -> bool {
-        self.servers.get(id).is_some_and(|s| s.alpha == 0.0 && s.free.is_none_or(|free| free > 0.0))
+        self.servers.get(id).is_some_and(|server| server.alpha == 0.0)
     }
 
-    /// Step 5: which server the call goes to.
+    /// Step 5: which server the call goes to. All that are allowed show free lines.
     fn choose(&mut self, now: Micros, id: CallId) -> Option<ServerId> {
         let allowed = self.allowed(now, id);
         let first = self.calls.get(&id)?.call.first_choice;
         let lookup = |id: &ServerId| self.servers.get(id).map(|s| s.number);
         let direct = allowed.iter().find(|id| lookup(id) == first && self.clear(id));
-        if direct.is_some() || allowed.len() < 2 {
-            return direct.or(allowed.first()).copied();
-        }
-        self.emptier(&allowed)
+        direct.copied().or_else(|| self.emptier(&allowed))
     }
 
     /// Of two random servers the one with fewer of our set-ups unanswered. At a few set-ups a minute both
     /// have none: then the one that refuses less.
     fn emptier(&mut self, among: &[ServerId]) -> Option<ServerId> {
         let n = among.len();
-        let one = (self.chance() * n as f64) as usize;
-        let step = 1 + (self.chance() * n.saturating_sub(1) as f64) as usize;
+        let one = (chance(&mut self.rng) * n as f64) as usize;
+        let step = 1 + (chance(&mut self.rng) * n.saturating_sub(1) as f64) as usize;
         let two = [*among.get(one)?, among[(one + step) % n]];
         let load = |id: &ServerId| self.servers.get(id).map_or((u32::MAX, 1.0), |s| (s.unanswered, s.alpha));
         Some(if load(&two[1]) < load(&two[0]) { two[1] } else { two[0] })
     }
 
+    /// Counts a call that is meant for the server; its reject fraction.
+    fn ask(&mut self, now: Micros, id: ServerId) -> f64 {
+        let Some(server) = self.servers.get_mut(&id) else { return 1.0 };
+        server.arrivals.count(now, ARRIVAL_LAG_S);
+        server.alpha
+    }
+
     /// Finds the call a server and sends it, holds it for its pace, or refuses it.
     fn place(&mut self, now: Micros, id: CallId, actions: &mut Vec<Action>) {
         let Some(pending) = self.calls.get(&id) else { return };
@@ -927,19 +667,17 @@
         if late || tries >= self.settings.max_attempts {
             return self.turn_away(id, actions);
         }
-        if self.woke_at == Some(now) {
+        if self.has_slept() {
             return actions.push(Action::Timer { at: now + 1, token: u64::from(id) << 2 | TOKEN_RESEND });
         }
         let Some(choice) = self.choose(now, id) else {
             return self.turn_away(id, actions);
         };
-        let Some(server) = self.servers.get_mut(&choice) else { return };
-        server.arrivals.count(now, ARRIVAL_LAG_S);
-        let (alpha, paced) = (server.alpha, server.is_paced());
+        let alpha = self.ask(now, choice);
         // Step 3. Later attempts draw as well: the processor does not care which attempt loads it.
         let refusal = self.refusal(alpha, worth);
         let mut choice = choice;
-        if self.chance() < refusal {
+        if chance(&mut self.rng) < refusal {
             // Guards against refusing a call while a processor idles: what one server refuses is offered to
             // an allowed one with alpha at nought, as an upstream would try its next route after a 503.
             let clear = self.allowed(now, id);
@@ -947,54 +685,30 @@
             let Some(next) = self.emptier(&clear) else {
                 return self.turn_away(id, actions);
             };
+            self.ask(now, next);
             choice = next;
-            if let Some(server) = self.servers.get_mut(&choice) {
-                server.arrivals.count(now, ARRIVAL_LAG_S);
-            }
-        }
-        if paced {
-            if let Some(server) = self.servers.get_mut(&choice) {
-                server.held.push_back(id);
-            }
-            if let Some(pending) = self.calls.get_mut(&id) {
-                pending.held_at = Some(choice);
-            }
-            self.release(now, choice, actions);
-        } else {
-            self.send(now, id, choice, actions);
         }
+        self.pace(now, id, choice, actions);
     }
 
-    /// Step 4: sends held calls at the server's pace; those past their aim are refused.
-    fn release(&mut self, now: Micros, id: ServerId, actions: &mut Vec<Action>) {
+    /// Step 4: a call is sent as its server's pace has room, or refused once past its aim.
+    fn pace(&mut self, now: Micros, id: CallId, choice: ServerId, actions: &mut Vec<Action>) {
         let ramp = self.settings.ramp_time;
-        loop {
-            let Some(server) = self.servers.get_mut(&id) else { return };
-            let rate = server.pace_rate;
-            if !server.is_cold(now, ramp) {
-                server.fill(now, rate, BUCKET);
-            }
-            let Some(call) = server.held.front().copied() else { return };
-            let held = self.calls.get_mut(&call).filter(|p| p.held_at == Some(id));
-            let Some(pending) = held else {
-                server.held.pop_front();
-                continue;
-            };
-            let past = now >= pending.aim_at;
-            if !past && server.bucket < 1.0 {
-                return;
-            }
-            server.held.pop_front();
-            pending.held_at = None;
-            if past {
-                self.turn_away(call, actions);
-            } else {
-                if !server.is_cold(now, ramp) {
-                    server.bucket -= 1.0;
-                }
-                self.send(now, call, id, actions);
+        let (Some(pending), Some(server)) = (self.calls.get_mut(&id), self.servers.get_mut(&choice)) else {
+            return;
+        };
+        if server.is_paced() && !server.is_cold(now, ramp) {
+            server.fill(now, server.pace_rate, BUCKET);
+            if server.bucket < 1.0 && now >= pending.aim_at {
+                return self.turn_away(id, actions);
+            } else if server.bucket < 1.0 {
+                (pending.held_at, pending.not_before) = (Some(choice), now + TICK);
+                return actions
+                    .push(Action::Timer { at: now + TICK, token: u64::from(id) << 2 | TOKEN_RESEND });
             }
+            server.bucket -= 1.0;
         }
+        self.send(now, id, choice, actions);
     }
 
     fn send(&mut self, now: Micros, id: CallId, choice: ServerId, actions: &mut Vec<Action>) {
@@ -1016,19 +730,16 @@
         server.free = server.free.map(|free| free - taken);
         server.unanswered += 1;
         self.unanswered.insert((id, attempt), choice);
-        let mut timeout = pending.answer_by.saturating_sub(now + MS).max(1);
-        // Guards against answers that get lost, while most time-outs are of that kind: at a server that is
-        // not pressed a set-up stands soon or never, and a class that is safe to repeat has time for
-        // another. Could hurt where a processor slows in between: the work of the first is lost.
+        let full = pending.answer_by.saturating_sub(now + MS).max(1);
+        // Guards against answers that get lost, while most time-outs are of that kind: a set-up stands soon
+        // or never, and a class that is safe to repeat has time for another. Could hurt where a processor
+        // slows in between: the work of the first is lost.
         let class = self.settings.classes.get(pending.call.class);
-        if class.is_some_and(|c| c.repeat == Repeat::Safe) && self.lost > LOST_MOSTLY {
-            let soon = class.map_or(timeout, |c| (c.aim as f64 * LOST_AFTER) as Micros);
-            if pending.attempts < self.settings.max_attempts
-                && timeout > soon + self.settings.release_guard + LEAST_TIME
-            {
-                timeout = soon;
-            }
-        }
+        let class = class.filter(|c| c.repeat == Repeat::Safe && self.lost > LOST_MOSTLY);
+        let soon = class.map_or(full, |class| (class.aim as f64 * LOST_AFTER) as Micros);
+        let again = pending.attempts < self.settings.max_attempts
+            && full > soon + self.settings.release_guard + LEAST_TIME;
+        let timeout = if again { soon } else { full };
         actions.push(Action::Send { call: id, server: choice, timeout });
     }
 
@@ -1042,15 +753,9 @@
     }
 
     /// What an attempt's end says of its server.
-    fn attempt_ended(
-        &mut self,
-        now: Micros,
-        id: ServerId,
-        how: (Outcome, Micros, Note),
-        actions: &mut Vec<Action>,
-    ) {
-        let (outcome, lag, note) = how;
-        let chance = self.chance();
+    fn attempt_ended(&mut self, now: Micros, id: ServerId, end: &Ending, actions: &mut Vec<Action>) {
+        let Ending { outcome, lag, note } = *end;
+        let (slept, drawn) = (self.has_slept(), chance(&mut self.rng));
         let Some(server) = self.servers.get_mut(&id) else { return };
         if note == Note::NoLine {
             server.free = Some(0.0);
@@ -1064,12 +769,12 @@
                 // since each try costs its call the dial time.
                 let text = format!("not reached: server number {} counts as cold", server.number);
                 server.cold_since = Some(now);
-                server.bucket = chance;
-                server.down_until = now + micros(DOWN_PAUSE_S * (0.5 + chance));
+                server.bucket = drawn;
+                server.down_until = now + micros(DOWN_PAUSE_S * (0.5 + drawn));
                 self.log(now, text, actions);
             }
             // Answers get lost too: where a set-up sent no earlier stood at once, it is no sign of load.
-            Outcome::Timeout if self.woke_at != Some(now) => {
+            Outcome::Timeout if !slept => {
                 let lost = server.stood_since(now - lag.min(now));
                 self.lost += (f64::from(u8::from(lost)) - self.lost) * LOST_WEIGHT;
                 if !lost {
@@ -1081,14 +786,8 @@
     }
 
     /// What becomes of a call whose attempt failed.
-    fn after_failure(
-        &mut self,
-        now: Micros,
-        id: CallId,
-        outcome: Outcome,
-        note: Note,
-        actions: &mut Vec<Action>,
-    ) {
+    fn after_failure(&mut self, now: Micros, id: CallId, end: &Ending, actions: &mut Vec<Action>) {
+        let Ending { outcome, note, .. } = *end;
         let guard = self.settings.release_guard;
         let Some(pending) = self.calls.get_mut(&id) else { return };
         pending.out = None;
@@ -1124,7 +823,7 @@
     }
 
     fn timer(&mut self, now: Micros, id: CallId, kind: u64, actions: &mut Vec<Action>) {
-        let Some(pending) = self.calls.get(&id) else { return };
+        let Some(pending) = self.calls.get_mut(&id) else { return };
         match kind {
             TOKEN_DEADLINE if now + MS >= pending.answer_by => {
                 // The last resort of every held call, whatever it waits for.
@@ -1138,10 +837,14 @@
                     self.turn_away(id, actions);
                 }
             }
-            TOKEN_RESEND
-                if now >= pending.not_before && pending.out.is_none() && pending.held_at.is_none() =>
-            {
-                self.place(now, id, actions);
+            TOKEN_RESEND if now >= pending.not_before && pending.out.is_none() => {
+                let held_at = pending.held_at.take();
+                let ready =
+                    |id: &ServerId| self.servers.get(id).is_some_and(|s| s.state == ServerState::Ready);
+                match held_at.filter(ready) {
+                    Some(server) if !self.has_slept() => self.pace(now, id, server, actions),
+                    _ => self.place(now, id, actions),
+                }
             }
             _ => {}
         }
