--- a/src/policy.rs
+++ b/src/policy.rs
@@ -227,11 +227,7 @@
             }
             // Against the rate asked for, not its own highest: that error is never negative, so noise alone
             // winds it, and it is blind to a processor that was too small from the start.
-            // Only as far as the count is sure: at a few calls a minute it is mostly chance.
-            Signal::Rate(rate) => {
-                let sure = asked - (asked / (2.0 * ARRIVAL_LAG_S)).sqrt();
-                (1.0 - rate / (sure * fronts).max(rate / 2.0).max(0.01), RATE_GAINS)
-            }
+            Signal::Rate(rate) => (1.0 - rate / (asked * fronts).max(rate / 2.0).max(0.01), RATE_GAINS),
             Signal::Busy(busy) => (busy.min(1.0) - TARGET_BUSY, BUSY_GAINS),
         };
         // Guards against reports that lie, lag or say too little (a rate or utilisation does not tell by how
