Time-outs are not told on, and only a server's answers count against them

Also holds against any sign that a front draws from silence; could hurt where servers answer some set-ups at once and never others.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -135,12 +135,19 @@
 impl Server {
     /// Whether a set-up was seen, here or by another front, to stand without a wait since then.
     fn stood_since(&self, at: Micros) -> bool {
-        self.seen_at > at && self.seen_wait_s < TARGET_WAIT_S
+        self.answer.0 > at && self.answer.1 < TARGET_WAIT_S
+    }
+
+    /// A wait that the server's own answer proves. Only such are told on: a time-out may be a lost answer,
+    /// and fronts that pass on time-outs confirm each other.
+    fn see_answer(&mut self, now: Micros, wait_s: f64) {
+        self.answer = (now, wait_s);
+        self.see_wait(now, wait_s);
     }
 
     fn see_lag(&mut self, now: Micros, lag: Micros) {
         self.least_lag = self.least_lag.min(lag);
-        self.see_wait(now, seconds(lag - self.least_lag));
+        self.see_answer(now, seconds(lag - self.least_lag));
     }
 
     fn note_report(&mut self, now: Micros, report: &Report) {
@@ -169,8 +176,8 @@
             key: word::key(id),
             report: self.report,
             age: age(self.reported_at),
-            seen_wait_s: self.seen_wait_s,
-            seen_age: age(self.seen_at),
+            seen_wait_s: self.answer.1,
+            seen_age: age(self.answer.0),
         }
     }
 
@@ -179,12 +186,12 @@
         let newer = |age: Micros, than: Micros| {
             Some(now.saturating_sub(age)).filter(|at| *at > than.max(self.known_at))
         };
-        let (report_at, seen_at) = (newer(word.age, self.reported_at), newer(word.seen_age, self.seen_at));
+        let (report_at, seen_at) = (newer(word.age, self.reported_at), newer(word.seen_age, self.answer.0));
         if let Some(at) = report_at {
             (self.report, self.reported_at) = (word.report, at);
         }
         if let Some(at) = seen_at {
-            self.see_wait(at, word.seen_wait_s);
+            self.see_answer(at, word.seen_wait_s);
         }
     }
 
@@ -761,7 +768,7 @@
             server.free = Some(0.0);
         }
         if let Note::ProcessorFull(wait) = note {
-            server.see_wait(now, seconds(wait).max(FULL_WAIT_S));
+            server.see_answer(now, seconds(wait).max(FULL_WAIT_S));
         }
         match outcome {
             Outcome::ConnectFailed => {
@@ -775,7 +782,7 @@
             }
             // Answers get lost too: where a set-up sent no earlier stood at once, it is no sign of load.
             Outcome::Timeout if !slept => {
-                let lost = server.stood_since(now - lag.min(now));
+                let lost = server.stood_since(now.saturating_sub(lag.max(STALE)));
                 self.lost += (f64::from(u8::from(lost)) - self.lost) * LOST_WEIGHT;
                 if !lost {
                     server.see_wait(now, seconds(lag));
