--- a/src/policy.rs
+++ b/src/policy.rs
@@ -138,8 +138,8 @@
         self.answer.0 > at && self.answer.1 < TARGET_WAIT_S
     }
 
-    /// A wait that the server's own answer proves. Only such are told on: a time-out may be a lost answer,
-    /// and fronts that pass on time-outs confirm each other.
+    /// A wait shown by an answer or by what is unanswered here. Only such are told on: a time-out may be a
+    /// lost answer, and fronts that pass on time-outs confirm each other.
     fn see_answer(&mut self, now: Micros, wait_s: f64) {
         self.answer = (now, wait_s);
         self.see_wait(now, wait_s);
@@ -208,7 +208,7 @@
         // is unanswered here, over what the server took from here, is a wait. Few set-ups prove nothing.
         let backlog_s = (f64::from(self.unanswered) - BACKLOG_NOISE) / carried.max(0.1);
         if backlog_s > self.seen_wait_s.max(TARGET_WAIT_S) {
-            self.see_wait(now, backlog_s);
+            self.see_answer(now, backlog_s);
         }
         let told = Signal::of(&self.report).filter(|_| now.saturating_sub(self.reported_at) <= STALE);
         let fresh = self.seen_at > 0 && now.saturating_sub(self.seen_at) <= SEEN_FRESH;
@@ -782,7 +782,7 @@
             }
             // Answers get lost too: where a set-up sent no earlier stood at once, it is no sign of load.
             Outcome::Timeout if !slept => {
-                let lost = server.stood_since(now.saturating_sub(lag.max(STALE)));
+                let lost = server.stood_since(now.saturating_sub(lag));
                 self.lost += (f64::from(u8::from(lost)) - self.lost) * LOST_WEIGHT;
                 if !lost {
                     server.see_wait(now, seconds(lag));
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,7 +25,7 @@
     pub least_lag: Micros,
     pub seen_wait_s: f64,
     pub seen_at: Micros,
-    /// When the server last proved a wait by its own answer, here or at another front, and which.
+    /// When an answer, or what was unanswered, last showed a wait, here or at another front, and which.
     pub answer: (Micros, f64),
     /// The lagged error.
     pub error: Option<f64>,
