--- a/src/policy.rs
+++ b/src/policy.rs
@@ -825,7 +825,9 @@
         if pending.may_have_run.is_some() && repeat == Repeat::Never {
             actions.push(Action::Fail(id));
         } else {
-            actions.push(Action::Refuse { call: id, retry_after: 0 });
+            // Spread over the time that callers heed, so that a wave of redials does not come back as one.
+            let retry_after = micros(chance(&mut self.rng) * seconds(self.settings.max_retry_after));
+            actions.push(Action::Refuse { call: id, retry_after });
         }
     }
 
