--- a/src/policy.rs
+++ b/src/policy.rs
@@ -65,7 +65,7 @@
 /// s. Lag of the rate that a warm server takes from this front, the measure for a cold one.
 const CARRIED_LAG_S: f64 = 10.0;
 /// A cold server gets this share of what would push it over: room for uneven fronts, and its loop holds it.
-const RAMP_SHARE: f64 = 0.5;
+const RAMP_SHARE: f64 = 0.8;
 /// s. A cold server's bucket saves up one set-up and as many as fall due in this time ...
 const RAMP_BURST_S: f64 = 0.3;
 /// ... and a set-up that was saved up and found no call is forgotten after this.
