--- a/src/policy.rs
+++ b/src/policy.rs
@@ -69,7 +69,7 @@
 /// s. A cold server's bucket saves up one set-up and as many as fall due in this time ...
 const RAMP_BURST_S: f64 = 0.3;
 /// ... and a set-up that was saved up and found no call is forgotten after this.
-const RAMP_KEEP: Micros = 3 * SECOND;
+const RAMP_KEEP: Micros = 2 * SECOND;
 /// Calls that the order of worth is judged on.
 const RECENT_CALLS: usize = 200;
 /// s. Lag of a customer's arrival rate.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -274,3 +274,23 @@
     let late = refused[50..].iter().filter(|r| **r).count();
     assert!(late > 30, "{late} of the second fifty refused");
 }
+
+#[test]
+fn advice_to_stay_away_is_spread_within_what_callers_heed() {
+    let waits = |max_retry_after| {
+        let mut front = Front::with(Settings { max_retry_after, ..settings() }, &[]);
+        let mut waits = Vec::new();
+        for _ in 0..100 {
+            waits.extend(front.call().1.into_iter().filter_map(|a| match a {
+                Action::Refuse { retry_after, .. } => Some(retry_after),
+                _ => None,
+            }));
+        }
+        waits
+    };
+    assert!(waits(0).iter().all(|wait| *wait == 0), "none where none may be given");
+    let waits = waits(2 * S);
+    assert!(waits.len() == 100 && waits.iter().all(|wait| *wait < 2 * S));
+    assert!(waits.iter().filter(|wait| **wait < S).count() > 30);
+    assert!(waits.iter().filter(|wait| **wait >= S).count() > 30);
+}
