--- a/src/policy.rs
+++ b/src/policy.rs
@@ -92,12 +92,8 @@
 const PROBES: (f64, Micros) = (8.0, SECOND);
 /// Time until a failed subscription is asked for again.
 const WATCH_AGAIN: Micros = SECOND;
-/// A front tells one other, drawn by chance, what it knows of the servers; mean time between messages ...
+/// A front tells one other, drawn by chance, what it knows of the servers; mean time between messages.
 const TELL_EVERY_S: f64 = 0.125;
-/// ... of those that it hears of itself less often than this a second, ...
-const HEARD_ENOUGH: f64 = 2.0;
-/// s. ... as a rate with this lag.
-const HEARD_LAG_S: f64 = 4.0;
 /// A server at rest, with its error under this and alpha at nought, is told of in this share of messages.
 const REST: (f64, f64) = (-0.5, 0.15);
 /// Least time between log lines.
@@ -157,7 +153,6 @@
         if Signal::of(report).is_some() {
             self.report = *report;
             self.reported_at = now;
-            self.heard.count(now, HEARD_LAG_S);
         }
     }
 
@@ -479,11 +474,7 @@
         let (first, drawn) = (self.tell_at == 0, chance(&mut self.rng));
         self.tell_at = now + micros(TELL_EVERY_S * if first { drawn } else { 0.5 + drawn });
         let of_rest = chance(&mut self.rng) < REST.1;
-        let due = |server: &Server| {
-            server.state == ServerState::Ready
-                && server.heard.read(now, HEARD_LAG_S) < HEARD_ENOUGH
-                && (of_rest || !server.is_at_rest())
-        };
+        let due = |server: &Server| server.state == ServerState::Ready && (of_rest || !server.is_at_rest());
         let words = self.servers.iter().filter(|(_, server)| due(server));
         let payload = word::write(words.map(|(id, server)| server.word(now, *id)), MESSAGE_MAX);
         if let Some(payload) = payload.filter(|_| !first) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -19,8 +19,6 @@
     pub reported_at: Micros,
     /// This front knows of the process since then; older news is of another one.
     pub known_at: Micros,
-    /// How often this front hears of the server itself.
-    pub heard: Meter,
     /// The shortest and the latest set-up time that this front saw itself; the difference is waiting.
     pub least_lag: Micros,
     pub seen_wait_s: f64,
