--- a/src/policy.rs
+++ b/src/policy.rs
@@ -65,7 +65,7 @@
 /// s. Lag of the rate that a warm server takes from this front, the measure for a cold one.
 const CARRIED_LAG_S: f64 = 10.0;
 /// A cold server gets this share of what would push it over: room for uneven fronts, and its loop holds it.
-const RAMP_SHARE: f64 = 0.8;
+const RAMP_SHARE: f64 = 0.7;
 /// s. A cold server's bucket saves up one set-up and as many as fall due in this time ...
 const RAMP_BURST_S: f64 = 0.3;
 /// ... and a set-up that was saved up and found no call is forgotten after this.
@@ -486,8 +486,7 @@
 
     fn list(&mut self, now: Micros, kind: ListKind, entries: &[Entry], actions: &mut Vec<Action>) {
         if kind == ListKind::Failed {
-            actions.push(Action::Timer { at: now + WATCH_AGAIN, token: TOKEN_WATCH });
-            return;
+            return actions.push(Action::Timer { at: now + WATCH_AGAIN, token: TOKEN_WATCH });
         }
         let mut leaving = Vec::new();
         if kind == ListKind::Full {
@@ -524,8 +523,7 @@
         }
         self.arrivals.count(now, ARRIVAL_LAG_S);
         let Some(class) = self.settings.classes.get(call.class) else {
-            actions.push(Action::Refuse { call: id, retry_after: 0 });
-            return;
+            return actions.push(Action::Refuse { call: id, retry_after: 0 });
         };
         let answer_by = now.saturating_add(call.gives_up_in).saturating_sub(MARGIN);
         // Guards against work for callers whose time has gone: a number dialled again here is most likely the
@@ -722,10 +720,6 @@
         if server.is_cold(now, ramp) {
             server.bucket -= 1.0;
         }
-        // Guards against a run on the last lines: every front sees the same few, so each counts them down
-        // as if all sent alike, until it is told anew (which an own call's end does, freeing a line).
-        let taken = server.lines_of_all(f64::from(self.settings.fronts));
-        server.free = server.free.map(|free| free - taken);
         server.unanswered += 1;
         self.unanswered.insert((id, attempt), choice);
         let full = pending.answer_by.saturating_sub(now + MS).max(1);
