A time-out at a server whose fresh report shows load under the set-point is no wait

Also holds against any silence that reports contradict; could hurt where reports lie: set-up times and 'full' answers still count.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -215,7 +215,7 @@
                 self.pi.integral = 0.0;
             }
             self.alpha = self.pi.integral.min(self.alpha);
-            self.error = None;
+            (self.error, self.told_easy) = (None, false);
             self.pace_rate = asked;
             return;
         };
@@ -234,6 +234,7 @@
         };
         // Guards against reports that lie, lag or say too little (a rate or utilisation does not tell by how
         // much a processor is overrun): where the set-up times seen here are worse, they drive the loop.
+        self.told_easy = told.is_some() && error < 0.0;
         let seen = (self.seen_wait_s / TARGET_WAIT_S - 1.0).min(ERROR_MAX);
         let worse = match signal {
             Signal::HoldBack(_) => false,
@@ -767,7 +768,7 @@
             }
             // Answers get lost too: where a set-up sent no earlier stood at once, it is no sign of load.
             Outcome::Timeout if !slept => {
-                let lost = server.stood_since(now.saturating_sub(lag));
+                let lost = server.told_easy || server.stood_since(now.saturating_sub(lag));
                 self.lost += (f64::from(u8::from(lost)) - self.lost) * LOST_WEIGHT;
                 if !lost {
                     server.see_wait(now, seconds(lag));
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,6 +28,8 @@
     /// The lagged error.
     pub error: Option<f64>,
     pub pi: Pi,
+    /// A fresh report shows a load under the set-point.
+    pub told_easy: bool,
     /// The reject fraction.
     pub alpha: f64,
     pub unanswered: u32,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -295,3 +295,24 @@
     assert!(waits.iter().filter(|wait| **wait < S).count() > 30);
     assert!(waits.iter().filter(|wait| **wait >= S).count() > 30);
 }
+
+#[test]
+fn time_outs_at_a_server_whose_reports_are_short_are_not_load() {
+    // Small twin of litoral big-1: the only set-up of that second was the one whose answer got lost.
+    let refused = |wait_s: Option<f64>| {
+        let mut front = Front::with(settings(), &[line(10, 0)]);
+        let mut refused = 0;
+        for _ in 0..12 {
+            let (id, actions) = front.call();
+            refused += u32::from(is_refused(&actions));
+            front.pass(S);
+            front.report(10, Report { wait_s, ..Report::default() });
+            front.pass(100 * MS);
+            front.timed_out(id, 10, 1_100 * MS);
+            front.pass(200 * MS);
+        }
+        refused
+    };
+    assert_eq!(refused(Some(0.02)), 0);
+    assert!(refused(None) > 2, "without a word of the server they are");
+}
