--- a/src/policy.rs
+++ b/src/policy.rs
@@ -673,17 +673,8 @@
         let alpha = self.ask(now, choice);
         // Step 3. Later attempts draw as well: the processor does not care which attempt loads it.
         let refusal = self.refusal(alpha, worth);
-        let mut choice = choice;
         if chance(&mut self.rng) < refusal {
-            // Guards against refusing a call while a processor idles: what one server refuses is offered to
-            // an allowed one with alpha at nought, as an upstream would try its next route after a 503.
-            let clear = self.allowed(now, id);
-            let clear: Vec<_> = clear.into_iter().filter(|s| self.clear(s)).collect();
-            let Some(next) = self.emptier(&clear) else {
-                return self.turn_away(id, actions);
-            };
-            self.ask(now, next);
-            choice = next;
+            return self.turn_away(id, actions);
         }
         self.pace(now, id, choice, actions);
     }
