Call engine without I/O: calls, attempts, orphans, pool and the five rules as a last line

Need: the running front has to put protocols and the decision module together in one place that the sockets, an emulator and a model checker can all drive. Change: a workspace with crates/call: neutral inputs and outputs, memory of answered requests, releases that wait for a link, a pool of several sources, bounds on every table, a guard that holds back an action which would break a rule.

--- /dev/null
+++ b/crates/call/tests/calls.rs
@@ -0,0 +1,246 @@
+//! One call's way, and the moments that cross on it.
+
+mod common;
+
+use baydrift::interface::{ListKind, Note, Outcome, Report, ServerState};
+use baydrift_call::guard::Breach;
+use baydrift_call::{AttemptEnd, Final, Input, Limits, LinkId, LinkState, Output, Refusal, ReleaseResult};
+use common::*;
+
+#[test]
+fn a_call_stands_and_is_released() {
+    let mut w = World::new(Limits::default());
+    let attempt = w.standing(1);
+    assert_eq!(w.engine.calls_in_set_up(), 0);
+    let out = w.input(Input::Released { session: session(1), request: request(1, 50) });
+    assert_eq!(releases(&out), [attempt]);
+    assert!(out.iter().any(|o| matches!(o, Output::AnswerRelease { result: ReleaseResult::Done, .. })));
+    w.input(Input::ReleaseDone { attempt, report: Report::default() });
+    assert_eq!((w.engine.calls_held(), w.engine.orphans()), (0, 0));
+}
+
+#[test]
+fn a_time_out_is_released_and_goes_elsewhere_after_the_guard() {
+    let mut w = World::new(Limits::default());
+    let (first, server) = set_up(&w.offer(1)).unwrap();
+    let at = w.now;
+    w.input(Input::Ended { attempt: first, end: AttemptEnd::plain(Outcome::Timeout) });
+    let out = w.out.clone();
+    assert_eq!((releases(&out), set_ups(&out)), (vec![first], 0));
+    let out = w.pass(310 * MS);
+    let (second, other) = set_up(&out).expect("a second attempt");
+    assert!(other != server && w.now - at >= 300 * MS);
+    // The late answer of the first changes nothing.
+    assert!(w.stands(first).is_empty());
+    assert_eq!(w.engine.counts().late, 1);
+    assert_eq!(answers(&w.stands(second)), [Final::Stands]);
+}
+
+#[test]
+fn what_never_ran_goes_elsewhere_at_once() {
+    let mut w = World::new(Limits::default());
+    let (first, server) = set_up(&w.offer(1)).unwrap();
+    let end = AttemptEnd { note: Note::ProcessorFull(0), ..AttemptEnd::plain(Outcome::Full) };
+    let out = w.input(Input::Ended { attempt: first, end });
+    assert!(set_up(&out).is_some_and(|(_, other)| other != server));
+    assert!(releases(&out).is_empty());
+}
+
+#[test]
+fn a_call_without_any_server_link_is_answered_in_time() {
+    let mut w = World::new(Limits::default());
+    w.link(0, LinkState::Down);
+    w.link(1, LinkState::Down);
+    let mut out = w.offer(1);
+    out.extend(w.pass(3 * S));
+    assert_eq!(answers(&out).len(), 1);
+    assert_eq!(set_ups(&out), 0);
+}
+
+#[test]
+fn a_repeat_gets_the_same_answer_and_no_second_attempt() {
+    let mut w = World::new(Limits::default());
+    let (attempt, _) = set_up(&w.offer(1)).unwrap();
+    // Before the answer, by a new link: both wait, both get it.
+    w.client_up(2, false);
+    assert!(w.offer_by(1, request(2, 9), 0).is_empty());
+    assert_eq!(answers(&w.stands(attempt)), [Final::Stands, Final::Stands]);
+    // After it, while the call stands, and after it is over.
+    assert_eq!(answers(&w.offer_by(1, request(2, 10), 0)), [Final::Stands]);
+    w.input(Input::Released { session: session(1), request: request(2, 11) });
+    let out = w.offer_by(1, request(2, 12), 0);
+    assert_eq!((answers(&out), set_ups(&out)), (vec![Final::Stands], 0));
+    assert_eq!(w.engine.counts().taken, 1);
+    // Remembered for its time only.
+    w.pass(Limits::default().memory_keep + S);
+    assert_eq!(set_ups(&w.offer_by(1, request(2, 13), 0)), 1);
+}
+
+#[test]
+fn a_caller_that_gives_up_first_gets_one_answer_and_its_attempt_is_released() {
+    let mut w = World::new(Limits::default());
+    let (attempt, _) = set_up(&w.offer(1)).unwrap();
+    let out = w.input(Input::Released { session: session(1), request: request(1, 2) });
+    assert_eq!((answers(&out), releases(&out)), (vec![Final::Failed], vec![attempt]));
+    // The set-up stands in that very moment: too late.
+    assert!(w.stands(attempt).is_empty());
+    w.input(Input::ReleaseDone { attempt, report: Report::default() });
+    let rest = w.pass(5 * S);
+    assert_eq!((answers(&rest).len(), set_ups(&rest), w.engine.orphans()), (0, 0, 0));
+}
+
+#[test]
+fn a_release_by_a_stranger_touches_nothing() {
+    let mut w = World::new(Limits::default());
+    w.standing(1);
+    let mut theirs = session(1);
+    theirs.owner = "stranger.test".into();
+    let out = w.input(Input::Released { session: theirs, request: request(1, 2) });
+    assert!(matches!(out[..], [Output::AnswerRelease { result: ReleaseResult::Unknown, .. }]));
+    assert_eq!(w.engine.calls_held(), 1);
+}
+
+#[test]
+fn a_silent_watchdog_ends_what_is_out_and_spares_what_stands() {
+    let mut w = World::new(Limits::default());
+    let standing = w.standing(1);
+    let (out_there, server) = set_up(&w.offer(2)).unwrap();
+    let out = w.link(server, LinkState::Suspect);
+    assert_eq!((set_ups(&out), releases(&out).len()), (0, 0));
+    let (second, other) = set_up(&w.pass(310 * MS)).expect("goes elsewhere");
+    assert_ne!(other, server);
+    w.stands(second);
+    // Nothing new goes to the suspect; once it is back, the orphan is released there.
+    assert!(set_up(&w.offer(3)).is_none_or(|(_, to)| to != server));
+    let out = w.link(server, LinkState::Up { restarted: false });
+    assert_eq!(releases(&out), [out_there]);
+    assert!(!releases(&out).contains(&standing));
+    assert_eq!(w.engine.counts().cut, 0);
+}
+
+#[test]
+fn a_restarted_server_has_lost_its_calls() {
+    let mut w = World::new(Limits::default());
+    w.standing(1);
+    w.link(0, LinkState::Down);
+    assert_eq!(w.engine.calls_held(), 1);
+    let out = w.link(0, LinkState::Up { restarted: true });
+    assert!(out.iter().any(|o| matches!(o, Output::Cut { link: LinkId(1), .. })));
+    assert_eq!((w.engine.calls_held(), releases(&out).len()), (0, 0));
+}
+
+#[test]
+fn a_drain_told_by_list_or_peer_or_both_stops_set_ups_at_once() {
+    for order in 0..4 {
+        let mut w = World::new(Limits::default());
+        let list = Input::List(ListKind::Delta, vec![entry(0, ServerState::Draining)]);
+        match order {
+            0 => drop(w.input(list)),
+            1 => drop(w.input(Input::Drains(0))),
+            2 => drop((w.input(list), w.input(Input::Drains(0)))),
+            _ => drop((w.input(Input::Drains(0)), w.input(list))),
+        }
+        for id in 0..50 {
+            assert!(set_up(&w.offer(id)).is_none_or(|(_, server)| server == 1), "order {order}");
+        }
+        assert_eq!(w.engine.held_back(Breach::Drained), 0);
+        // The list may say ready late; while the server itself left, it stays out until it speaks again.
+        w.input(Input::List(ListKind::Delta, vec![entry(0, ServerState::Ready)]));
+        let back = set_up(&w.offer(60)).is_some_and(|(_, server)| server == 0);
+        assert_eq!(back, order == 0);
+        w.link(0, LinkState::Up { restarted: false });
+        assert!(set_up(&w.offer(61)).is_some_and(|(_, server)| server == 0));
+    }
+}
+
+#[test]
+fn a_lost_client_leaves_nothing_behind() {
+    let mut w = World::new(Limits::default());
+    let standing = w.standing(1);
+    let (attempt, _) = set_up(&w.offer(2)).unwrap();
+    w.input(Input::ClientDown(LinkId(1)));
+    // No one is there to be answered, but the call goes on for who asks again.
+    assert!(w.stands(attempt).is_empty());
+    w.client_up(2, false);
+    assert_eq!(answers(&w.offer_by(2, request(2, 1), 0)), [Final::Stands]);
+    w.input(Input::ClientDown(LinkId(2)));
+    let out = w.pass(Limits::default().away + S);
+    assert_eq!(releases(&out), [standing, attempt]);
+    w.pass(3 * S);
+    assert_eq!((w.engine.calls_held(), w.engine.orphans(), w.engine.calls_in_set_up()), (0, 0, 0));
+}
+
+#[test]
+fn a_restarted_client_has_its_calls_released() {
+    let mut w = World::new(Limits::default());
+    let standing = w.standing(1);
+    let (attempt, _) = set_up(&w.offer(2)).unwrap();
+    let out = w.client_up(2, true);
+    assert_eq!(releases(&out), [standing, attempt]);
+    assert_eq!((w.engine.calls_held(), answers(&out)), (0, vec![Final::Failed]));
+}
+
+#[test]
+fn bounds_refuse_with_an_answer_of_their_own() {
+    let limits = Limits { calls: 3, in_set_up_per_link: 2, memory: 2, orphans: 1, ..Limits::default() };
+    let mut w = World::new(limits);
+    w.offer(1);
+    w.offer(2);
+    let refused = Final::Refused { retry_after: 0, why: Refusal::Bound };
+    assert_eq!(answers(&w.offer(3)), [refused]);
+    w.client_up(2, false);
+    assert_eq!(set_ups(&w.offer_by(4, request(2, 1), 0)), 1);
+    assert_eq!(answers(&w.offer_by(5, request(2, 2), 0)), [refused]);
+    assert_eq!(w.engine.counts().bound, 2);
+    // Memory of answers and orphans are bounded too, and what is lost is counted.
+    w.offer_by(6, request(2, 3), 0);
+    assert_eq!((w.engine.remembered(), w.engine.counts().forgotten), (2, 1));
+    w.link(0, LinkState::Down);
+    w.link(1, LinkState::Down);
+    assert_eq!(w.engine.orphans(), 1);
+    assert!(w.engine.counts().given_up >= 1);
+}
+
+#[test]
+fn orphans_are_released_in_batches() {
+    let mut w = World::new(Limits::default());
+    for id in 0..40 {
+        assert!(set_up(&w.offer_by(id, request(1, u64::from(id)), 0)).is_some());
+        w.pass(MS);
+    }
+    w.input(Input::List(ListKind::Delta, vec![entry(1, ServerState::Draining)]));
+    w.link(0, LinkState::Down);
+    let waiting = w.engine.orphans();
+    let at_once = releases(&w.link(0, LinkState::Up { restarted: false })).len();
+    assert!(waiting > 16 && at_once == 16, "{waiting} {at_once}");
+    let later = releases(&w.pass(500 * MS)).len();
+    assert_eq!(at_once + later, waiting);
+}
+
+#[test]
+fn a_stop_answers_what_is_undecided_and_takes_nothing_new() {
+    let mut w = World::new(Limits::default());
+    w.standing(1);
+    let (attempt, _) = set_up(&w.offer(2)).unwrap();
+    let out = w.input(Input::Stop);
+    let stopping = Final::Refused { retry_after: 0, why: Refusal::Stopping };
+    assert_eq!((answers(&out), releases(&out)), (vec![stopping], vec![attempt]));
+    assert_eq!(answers(&w.offer(3)), [stopping]);
+    assert_eq!(w.engine.calls_held(), 1);
+}
+
+#[test]
+fn an_own_stall_hears_drains_before_it_sends() {
+    let mut w = World::new(Limits::default());
+    let (attempt, server) = set_up(&w.offer(1)).unwrap();
+    assert_eq!(server, 0);
+    w.input(Input::Ended { attempt, end: AttemptEnd::plain(Outcome::Timeout) });
+    w.stall(2 * S);
+    // Both the resend and the drain of the other server fell into the stall.
+    let mut out = w.input(Input::List(ListKind::Delta, vec![entry(1, ServerState::Draining)]));
+    out.extend(w.pass(20 * MS));
+    assert!(set_up(&out).is_none_or(|(_, to)| to == 0));
+    out.extend(w.pass(3 * S));
+    assert_eq!(answers(&out).len(), 1);
+    assert_eq!(w.engine.held_back(Breach::Drained), 0);
+}
--- /dev/null
+++ b/crates/call/tests/common/mod.rs
@@ -0,0 +1,169 @@
+//! An engine with its world in virtual time: links are up, servers answer only when a test says so.
+
+#![allow(dead_code)] // Each test file uses its part.
+
+use std::sync::Arc;
+
+use baydrift::interface::{
+    Class, Entry, ListKind, Micros, Repeat, Report, ReportPath, ServerState, Settings,
+};
+use baydrift_call::{
+    AttemptId, Engine, Final, Input, Limits, LinkId, LinkState, Offer, Output, Request, Session,
+};
+
+pub const MS: Micros = 1_000;
+pub const S: Micros = 1_000_000;
+
+pub fn settings() -> Settings {
+    Settings {
+        fronts: 1,
+        ordinal: 0,
+        own_number: None,
+        classes: vec![Class {
+            worth: 1.0,
+            late_worth: 0.2,
+            aim: 2 * S,
+            deadline: 9 * S,
+            repeat: Repeat::Safe,
+            servers: None,
+        }],
+        tenants: vec![],
+        over_share_worth: 1.0,
+        max_attempts: 5,
+        may_cancel: true,
+        may_probe: false,
+        may_tell_peers: false,
+        max_retry_after: 0,
+        reports: ReportPath::Answers,
+        subscribe: false,
+        resend_after: 0,
+        release_guard: 300 * MS,
+        cold_from: 0.3,
+        ramp_time: 12 * S,
+        fall_multiple: 2.0,
+        fall_time: 1_500 * MS,
+    }
+}
+
+pub fn entry(server: u64, state: ServerState) -> Entry {
+    Entry { server, number: server as u16, state, started_at: None }
+}
+
+pub fn session(id: u32) -> Session {
+    Session { owner: Arc::from("client.test"), id: Arc::from(format!("client.test;1;{id}")) }
+}
+
+pub fn request(link: u64, ticket: u64) -> Request {
+    Request { link: LinkId(link), ticket }
+}
+
+pub struct World {
+    pub engine: Engine<u32>,
+    pub now: Micros,
+    pub out: Vec<Output<u32>>,
+}
+
+impl World {
+    /// Servers 0 and 1 are ready, their links and client link 1 up.
+    pub fn new(limits: Limits) -> Self {
+        let engine = Engine::new(settings(), limits, 7).expect("settings are good");
+        let mut world = Self { engine, now: S, out: Vec::new() };
+        let entries = vec![entry(0, ServerState::Ready), entry(1, ServerState::Ready)];
+        world.input(Input::List(ListKind::Full, entries));
+        for server in [0, 1] {
+            world.link(server, LinkState::Up { restarted: false });
+        }
+        world.client_up(1, false);
+        world
+    }
+
+    /// Hands over one input; what came out of it.
+    pub fn input(&mut self, input: Input<u32>) -> Vec<Output<u32>> {
+        self.out.clear();
+        self.engine.handle(self.now, input, &mut self.out);
+        self.out.clone()
+    }
+
+    /// Lets time pass, wake by wake; all that came out.
+    pub fn pass(&mut self, span: Micros) -> Vec<Output<u32>> {
+        let until = self.now + span;
+        let mut all = Vec::new();
+        while let Some(at) = self.engine.next_wake().filter(|at| *at <= until) {
+            self.now = self.now.max(at);
+            all.extend(self.input(Input::Tick));
+        }
+        self.now = until;
+        all
+    }
+
+    /// The process stands still: nothing is handled until its end.
+    pub fn stall(&mut self, span: Micros) {
+        self.now += span;
+    }
+
+    pub fn link(&mut self, server: u64, state: LinkState) -> Vec<Output<u32>> {
+        self.input(Input::ServerLink { server, state })
+    }
+
+    pub fn client_up(&mut self, link: u64, restarted: bool) -> Vec<Output<u32>> {
+        self.input(Input::ClientUp { link: LinkId(link), owner: Arc::from("client.test"), restarted })
+    }
+
+    pub fn offer_by(&mut self, id: u32, request: Request, first: u16) -> Vec<Output<u32>> {
+        self.input(Input::Offered(Offer {
+            session: session(id),
+            request,
+            class: 0,
+            tenant: 0,
+            number: 0,
+            first_choice: Some(first),
+            gives_up_in: 3 * S,
+            redial: None,
+            was_cut: false,
+            payload: id,
+        }))
+    }
+
+    pub fn offer(&mut self, id: u32) -> Vec<Output<u32>> {
+        self.offer_by(id, request(1, u64::from(id)), 0)
+    }
+
+    pub fn stands(&mut self, attempt: AttemptId) -> Vec<Output<u32>> {
+        self.input(Input::Stands { attempt, report: Report::default() })
+    }
+
+    /// Offers a call that stands at once; its attempt.
+    pub fn standing(&mut self, id: u32) -> AttemptId {
+        let attempt = set_up(&self.offer(id)).expect("a ready server").0;
+        assert_eq!(answers(&self.stands(attempt)), [Final::Stands]);
+        attempt
+    }
+}
+
+/// The first set-up among outputs: attempt and server.
+pub fn set_up(out: &[Output<u32>]) -> Option<(AttemptId, u64)> {
+    out.iter().find_map(|o| match o {
+        Output::SetUp { attempt, server, .. } => Some((*attempt, *server)),
+        _ => None,
+    })
+}
+
+pub fn set_ups(out: &[Output<u32>]) -> usize {
+    out.iter().filter(|o| matches!(o, Output::SetUp { .. })).count()
+}
+
+pub fn releases(out: &[Output<u32>]) -> Vec<AttemptId> {
+    let of = |o: &Output<u32>| match o {
+        Output::Release { attempt, .. } => Some(*attempt),
+        _ => None,
+    };
+    out.iter().filter_map(of).collect()
+}
+
+pub fn answers(out: &[Output<u32>]) -> Vec<Final> {
+    let of = |o: &Output<u32>| match o {
+        Output::Answer { answer, .. } => Some(*answer),
+        _ => None,
+    };
+    out.iter().filter_map(of).collect()
+}
