Desk and front: Diameter to calls without I/O, and the tokio coat around it

Need: one process that takes Credit-Control requests, asks the engine, and sets calls up at servers. Change: crates/config (KDL, every problem with line and column), crates/desk (sessions, transactions, the table from Result-Codes to outcomes, who may connect, the pushed pool list; no I/O), crates/front (listeners, bounded queues, server links with elections, datagrams between fronts, HTTP pool list, stop). Result: builds and lints clean; 17 broken configuration lines each found at their place.

--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -27,6 +27,18 @@
 /// Orphans released at once to a server, and the pause until the next so many.
 const ORPHAN_BATCH: (usize, Micros) = (16, 50_000);
 
+/// What decides: the module, or something simple that it is compared with.
+pub trait Policy: std::fmt::Debug + Send {
+    /// Takes one event, at a time that never goes back; appends what is to be done.
+    fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>);
+}
+
+impl Policy for Controller {
+    fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        Self::handle(self, now, event, actions);
+    }
+}
+
 /// Bounds and times that are no decisions.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Limits {
@@ -114,7 +126,7 @@
 /// The call engine of one front. `P` is what the driver wants back with each set-up.
 #[derive(Debug)]
 pub struct Engine<P> {
-    controller: Controller,
+    policy: Box<dyn Policy>,
     guard: Guard,
     pool: Pool,
     limits: Limits,
@@ -144,6 +156,20 @@
     /// # Errors
     /// When the settings or limits hold a figure that nothing sensible can be done with.
     pub fn new(settings: Settings, limits: Limits, seed: u64) -> Result<Self, EngineError> {
+        let policy = Box::new(Controller::new(settings.clone(), seed)?);
+        Self::with_policy(settings, limits, policy)
+    }
+
+    /// An engine with another policy than the module, for comparisons.
+    ///
+    /// # Errors
+    /// As [`Engine::new`].
+    pub fn with_policy(
+        settings: Settings,
+        limits: Limits,
+        policy: Box<dyn Policy>,
+    ) -> Result<Self, EngineError> {
+        settings.check()?;
         if limits.calls == 0 {
             return Err(EngineError::Zero("calls"));
         }
@@ -153,7 +179,7 @@
         Ok(Self {
             guard: Guard::new(&settings, limits.grace, limits.cold_rate),
             pool: Pool::new(settings.ramp_time, limits.servers),
-            controller: Controller::new(settings, seed)?,
+            policy,
             now: 0,
             calls: BTreeMap::new(),
             sessions: BTreeMap::new(),
@@ -176,12 +202,26 @@
         })
     }
 
-    /// Takes one input, at a time that never goes back, and appends what is to be done.
+    /// Takes one input, at a time that never goes back, then lets time pass; appends what is to be done.
     pub fn handle(&mut self, now: Micros, input: Input<P>, out: &mut Vec<Output<P>>) {
+        self.hear(now, input, out);
+        self.fire(out);
+    }
+
+    /// Takes one input and leaves what is due to a later [`Input::Tick`]. Where several inputs wait, all
+    /// are heard first: after an own stall a drain, or an answer that came in time, counts before a timer.
+    pub fn hear(&mut self, now: Micros, input: Input<P>, out: &mut Vec<Output<P>>) {
         self.now = self.now.max(now);
         match input {
             Input::Offered(offer) => self.offered(offer, out),
             Input::Released { session, request } => self.released(session, request, out),
+            Input::Refreshed { session, request } => {
+                let id = self.sessions.get(&session);
+                let held = id.and_then(|id| self.calls.get(id));
+                let stands = held.is_some_and(|held| matches!(held.phase, Phase::Standing(_)));
+                let result = if stands { ReleaseResult::Done } else { ReleaseResult::Unknown };
+                out.push(Output::AnswerRelease { request, session, result });
+            }
             Input::ClientUp { link, owner, restarted } => self.client_up(link, owner, restarted, out),
             Input::ClientDown(link) => self.client_down(link),
             Input::Stands { attempt, report } => self.stands(attempt, report, out),
@@ -198,10 +238,9 @@
             Input::Peer { from, payload } => self.events.push_back(Event::Peer { from, payload }),
             Input::Tick => {}
             Input::Stop => self.stop(out),
+            Input::CutAll => self.cut_all(out),
         }
         self.run(out);
-        // Timers after the input: after an own stall all that was heard meanwhile comes first.
-        self.fire(out);
     }
 
     /// When to call with [`Input::Tick`] at the latest.
@@ -253,7 +292,7 @@
         while let Some(event) = self.events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
             actions.clear();
-            self.controller.handle(self.now, event, &mut actions);
+            self.policy.handle(self.now, event, &mut actions);
             for action in actions.drain(..) {
                 self.act(action, out);
             }
@@ -367,6 +406,7 @@
             if held.waiting.len() >= WAITING_MAX {
                 let oldest = held.waiting.remove(0);
                 leave(&mut self.in_set_up, oldest.link);
+                out.push(Output::Dropped(oldest));
             }
             held.waiting.push(*request);
             *self.in_set_up.entry(request.link).or_default() += 1;
@@ -859,6 +899,21 @@
     }
 }
 
+impl<P: Clone> Engine<P> {
+    fn cut_all(&mut self, out: &mut Vec<Output<P>>) {
+        let standing = |held: &Held<P>| match held.phase {
+            Phase::Standing(attempt) => Some(attempt),
+            _ => None,
+        };
+        let all: Vec<_> = self.calls.iter().filter_map(|(id, held)| Some((*id, standing(held)?))).collect();
+        for (id, attempt) in all {
+            self.counts.cut += 1;
+            self.tell_cut(id, out);
+            self.release_standing(id, attempt, out);
+        }
+    }
+}
+
 /// One request fewer waits on a link.
 fn leave(in_set_up: &mut BTreeMap<LinkId, usize>, link: LinkId) {
     if let Some(count) = in_set_up.get_mut(&link) {
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -50,7 +50,7 @@
 mod timers;
 mod types;
 
-pub use engine::{Counts, Engine, EngineError, Limits};
+pub use engine::{Counts, Engine, EngineError, Limits, Policy};
 pub use types::{
     AttemptEnd, AttemptId, Final, Input, LinkId, LinkState, Offer, Output, Refusal, ReleaseResult, Request,
     Session,
--- a/crates/call/src/types.rs
+++ b/crates/call/src/types.rs
@@ -92,6 +92,13 @@
         /// Where the answer goes.
         request: Request,
     },
+    /// A caller asks whether a call stands.
+    Refreshed {
+        /// The call.
+        session: Session,
+        /// Where the answer goes.
+        request: Request,
+    },
     /// A client's link came up. All calls of an owner that `restarted` are released.
     ClientUp {
         /// The link.
@@ -160,6 +167,8 @@
     Tick,
     /// The front stops: what is undecided is answered, nothing new is taken.
     Stop,
+    /// The front can wait no longer: calls that stand are cut at both ends.
+    CutAll,
 }
 
 /// Why a call is refused.
@@ -245,6 +254,8 @@
         /// The answer.
         result: ReleaseResult,
     },
+    /// A request will not be answered: the same call was asked for too often at once.
+    Dropped(Request),
     /// Tell a caller that its standing call was cut.
     Cut {
         /// Its link.
--- /dev/null
+++ b/crates/config/src/check.rs
@@ -0,0 +1,81 @@
+//! What must fit together.
+
+use std::collections::BTreeMap;
+
+use kdl::KdlDocument;
+
+use crate::reader::{Node, Problems};
+use crate::Config;
+
+/// Checks names that must be unique and things that must be there.
+pub(crate) fn check(document: &KdlDocument, problems: &Problems, front: &Node<'_>, config: &Config) {
+    for kind in ["class", "publisher", "client", "server"] {
+        unique(document, problems, kind, |node| node.entries().iter().find(|e| e.name().is_none()));
+    }
+    unique(document, problems, "server", |node| node.entries().iter().find(|e| is(e, "number")));
+    unique(document, problems, "server", |node| node.entries().iter().find(|e| is(e, "addr")));
+    if config.classes.is_empty() {
+        front.wrong("no class is configured", Some("class \"name\" { context \"name@realm\" }"));
+    }
+    if config.clients.is_empty() {
+        front.wrong("no client may connect", Some("client \"gateway.example\" realm=\"example\""));
+    }
+    if config.servers.is_empty() {
+        front.wrong("no server is configured", Some("server \"s1.example\" realm=... number=0 addr=..."));
+    }
+    if config.serves.is_empty() {
+        front.wrong("no realm is served", Some("serves \"core.example\": the Destination-Realm of calls"));
+    }
+    if config.settings.ordinal >= config.settings.fronts {
+        front.wrong_at("ordinal", "ordinal must be less than fronts", Some("ordinals count from 0"));
+    }
+    let mut owners: BTreeMap<&str, &str> = BTreeMap::new();
+    for class in &config.classes {
+        for context in &class.contexts {
+            if let Some(other) = owners.insert(context, &class.name) {
+                front.wrong(format!("context {context:?} belongs to {other} and to {}", class.name), None);
+            }
+        }
+        if class.class.aim > class.class.deadline || class.gives_up > class.class.deadline {
+            let text = format!("class {}: aim and gives-up must not be after deadline", class.name);
+            front.wrong(text, None);
+        }
+        for number in class.class.servers.iter().flatten() {
+            if config.servers.iter().all(|s| s.number != *number) {
+                front.wrong(format!("class {}: no server has number {number}", class.name), None);
+            }
+        }
+    }
+    if config.servers.len() > config.limits.servers {
+        front.wrong(format!("more servers than limits allow ({})", config.limits.servers), None);
+    }
+    if let Some(fleet) = &config.fleet {
+        for (ordinal, _) in &fleet.fronts {
+            if *ordinal >= config.settings.fronts || *ordinal == config.settings.ordinal {
+                front.wrong(format!("fleet: {ordinal} is no other front's ordinal"), None);
+            }
+        }
+    }
+}
+
+fn is(entry: &kdl::KdlEntry, name: &str) -> bool {
+    entry.name().is_some_and(|n| n.value() == name)
+}
+
+fn unique<'a>(
+    document: &'a KdlDocument,
+    problems: &Problems,
+    kind: &str,
+    key: impl Fn(&'a kdl::KdlNode) -> Option<&'a kdl::KdlEntry>,
+) {
+    let mut seen = Vec::new();
+    for node in document.nodes().iter().filter(|n| n.name().value() == kind) {
+        let Some(entry) = key(node) else { continue };
+        // Port 0 asks for any: two of them are not the same.
+        let any_port = entry.value().as_string().is_some_and(|t| t.ends_with(":0"));
+        if seen.contains(&entry.value()) && !any_port {
+            problems.add(entry.span(), format!("another {kind} has {} already", entry.value()), None);
+        }
+        seen.push(entry.value());
+    }
+}
--- /dev/null
+++ b/crates/config/src/front.rs
@@ -0,0 +1,299 @@
+//! From a document to a [`Config`].
+
+use baydrift::interface::{Class, Repeat, ReportPath, ServerState, Settings};
+use baydrift_call::Limits;
+use kdl::KdlDocument;
+
+use crate::check::check;
+use crate::reader::{parse_document, ConfigError, Node, Problems};
+use crate::{ClassEntry, Client, Config, Fleet, LinkLimits, Pool, Publisher, Server};
+
+const MS: u64 = 1_000;
+const S: u64 = 1_000_000;
+const HOUR: u64 = 3_600 * S;
+
+const KNOWN: [&str; 9] =
+    ["front", "limits", "policy", "class", "publisher", "client", "server", "pool", "fleet"];
+
+/// Reads and checks a front's configuration; `name` is the file's, for messages.
+///
+/// # Errors
+/// All that is wrong, each with its place.
+pub fn parse(name: &str, text: &str) -> Result<Config, ConfigError> {
+    let (document, problems) = parse_document(name, text)?;
+    for node in document.nodes() {
+        if !KNOWN.contains(&node.name().value()) {
+            let hint = format!("known here: {}", KNOWN.join(", "));
+            problems.add(
+                node.name().span(),
+                format!("no setting is called {}", node.name().value()),
+                Some(&hint),
+            );
+        }
+    }
+    let config = read(&document, &problems);
+    problems.finish(name)?;
+    config.ok_or_else(|| {
+        let problems = Problems::new(text);
+        problems.add(
+            (0, 0).into(),
+            "front is missing",
+            Some("front \"front1.example\" realm=\"example\" { ... }"),
+        );
+        problems.finish(name).expect_err("one was added")
+    })
+}
+
+fn all<'a>(document: &'a KdlDocument, problems: &Problems, name: &str) -> Vec<Node<'a>> {
+    let nodes = document.nodes().iter().filter(|node| node.name().value() == name);
+    nodes.map(|node| Node::new(node, problems)).collect()
+}
+
+fn one<'a>(document: &'a KdlDocument, problems: &Problems, name: &str) -> Option<Node<'a>> {
+    let mut nodes = all(document, problems, name);
+    for second in nodes.drain(1.min(nodes.len())..) {
+        second.wrong(format!("{name} is there already"), Some("keep one of them"));
+    }
+    nodes.pop()
+}
+
+fn read(document: &KdlDocument, problems: &Problems) -> Option<Config> {
+    let classes: Vec<_> = all(document, problems, "class").into_iter().map(class).collect();
+    let publishers: Vec<_> = all(document, problems, "publisher").into_iter().map(publisher).collect();
+    let (limits, links) = limits(one(document, problems, "limits"));
+    let front = one(document, problems, "front")?;
+    let policy = one(document, problems, "policy");
+    let (settings, grace, cold_rate) = settings(&front, policy, &classes, &publishers);
+    let config = Config {
+        host: front.name("its Origin-Host"),
+        realm: front.need_text("realm"),
+        listen: front.need_addr("listen"),
+        serves: front.texts("serves"),
+        watchdog: front.time("watchdog", 50 * MS..=HOUR).unwrap_or(6 * S),
+        stop_within: front.time("stop-within", 0..=HOUR).unwrap_or(5 * S),
+        seed: front.whole("seed", 0..=u64::MAX),
+        limits: Limits { grace, cold_rate, ..limits },
+        links,
+        clients: all(document, problems, "client").into_iter().map(client).collect(),
+        servers: all(document, problems, "server").into_iter().map(server).collect(),
+        pool: one(document, problems, "pool").map(pool),
+        fleet: one(document, problems, "fleet").map(fleet),
+        classes,
+        publishers,
+        settings,
+    };
+    check(document, problems, &front, &config);
+    front.done();
+    Some(config)
+}
+
+fn class(node: Node<'_>) -> ClassEntry {
+    let repeat = match node.text("repeat").as_deref() {
+        None | Some("safe") => Repeat::Safe,
+        Some("never") => Repeat::Never,
+        Some("within") => Repeat::Within(node.time("repeat-window", MS..=HOUR).unwrap_or(5 * S)),
+        Some(_) => {
+            node.wrong_at("repeat", "repeat is none of safe, within, never", None);
+            Repeat::Never
+        }
+    };
+    let servers: Vec<u16> = node
+        .children("servers")
+        .iter()
+        .flat_map(|n| n.node.entries().iter().map(move |e| (n, e)))
+        .filter_map(|(n, e)| {
+            let number = e.value().as_integer().and_then(|v| u16::try_from(v).ok());
+            if number.is_none() {
+                n.wrong("servers wants server numbers", None);
+            }
+            number
+        })
+        .collect();
+    let deadline = node.time("deadline", 100 * MS..=HOUR).unwrap_or(9 * S);
+    let entry = ClassEntry {
+        name: node.name("the class's name"),
+        contexts: node.texts("context"),
+        gives_up: node.time("gives-up", 100 * MS..=HOUR).unwrap_or(deadline),
+        class: Class {
+            worth: node.number("worth", 0.0..=1e6).unwrap_or(1.0),
+            late_worth: node.number("late-worth", 0.0..=1.0).unwrap_or(0.0),
+            aim: node.time("aim", 10 * MS..=HOUR).unwrap_or(2 * S),
+            deadline,
+            repeat,
+            servers: (!servers.is_empty()).then_some(servers),
+        },
+    };
+    if entry.contexts.is_empty() {
+        node.wrong(
+            "class lacks context",
+            Some("context \"name@realm\": the Service-Context-Id of its calls"),
+        );
+    }
+    node.done();
+    entry
+}
+
+fn publisher(node: Node<'_>) -> Publisher {
+    let publisher = Publisher {
+        name: node.name("the publisher's name"),
+        quota: node.number("quota", 0.0..=1e9).unwrap_or(f64::MAX),
+        realms: node.texts("realm"),
+        subscriptions: node.texts("subscription"),
+    };
+    if publisher.realms.is_empty() && publisher.subscriptions.is_empty() {
+        node.wrong("publisher has neither realm nor subscription", Some("no call would ever be its own"));
+    }
+    node.done();
+    publisher
+}
+
+fn client(node: Node<'_>) -> Client {
+    let client = Client {
+        host: node.name("its Origin-Host"),
+        realm: node.need_text("realm"),
+        connections: node.whole("connections", 1..=10_000).unwrap_or(2) as usize,
+        relay: node.flag("relay").unwrap_or(false),
+    };
+    node.done();
+    client
+}
+
+fn server(node: Node<'_>) -> Server {
+    let state = match node.text("state").as_deref() {
+        None | Some("ready") => ServerState::Ready,
+        Some("draining") => ServerState::Draining,
+        Some("gone") => ServerState::Gone,
+        Some(_) => {
+            node.wrong_at("state", "state is none of ready, draining, gone", None);
+            ServerState::Gone
+        }
+    };
+    let server = Server {
+        host: node.name("its Origin-Host"),
+        realm: node.need_text("realm"),
+        number: node.need_whole("number", 0..=65_535) as u16,
+        addr: node.need_addr("addr"),
+        state,
+    };
+    node.done();
+    server
+}
+
+fn pool(node: Node<'_>) -> Pool {
+    let pool = Pool { listen: node.need_addr("listen"), token: node.need_text("token") };
+    node.done();
+    pool
+}
+
+fn fleet(node: Node<'_>) -> Fleet {
+    let fronts = node.children("front").into_iter().map(|child| {
+        let entry = (child.need_whole("ordinal", 0..=99_999) as u32, child.need_addr("addr"));
+        child.done();
+        entry
+    });
+    let fleet = Fleet { fronts: fronts.collect(), bind: node.need_addr("bind") };
+    node.done();
+    fleet
+}
+
+fn limits(node: Option<Node<'_>>) -> (Limits, LinkLimits) {
+    let mut limits = Limits::default();
+    let mut links = LinkLimits {
+        connections: 1_024,
+        half_open: 64,
+        handshake: 5 * S,
+        message_bytes: 64 * 1024,
+        queue: 8_192,
+        write: 5 * S,
+    };
+    let Some(node) = node else { return (limits, links) };
+    let set = |to: &mut usize, key, range| {
+        if let Some(value) = node.whole(key, range) {
+            *to = value as usize;
+        }
+    };
+    set(&mut limits.calls, "calls", 1..=10_000_000);
+    set(&mut limits.in_set_up_per_link, "calls-in-set-up-per-link", 1..=1_000_000);
+    set(&mut limits.memory, "remembered-answers", 0..=10_000_000);
+    set(&mut limits.orphans, "orphans", 0..=10_000_000);
+    set(&mut limits.servers, "servers", 1..=10_000);
+    set(&mut links.connections, "connections", 1..=100_000);
+    set(&mut links.half_open, "half-open", 1..=100_000);
+    set(&mut links.message_bytes, "message-bytes", 256..=16_777_215);
+    set(&mut links.queue, "queue", 16..=1_000_000);
+    let time = |to: &mut u64, key, range| {
+        if let Some(value) = node.time(key, range) {
+            *to = value;
+        }
+    };
+    time(&mut limits.memory_keep, "remember-for", 0..=24 * HOUR);
+    time(&mut limits.release_timeout, "release-timeout", MS..=HOUR);
+    time(&mut limits.away, "away", 0..=24 * HOUR);
+    time(&mut links.handshake, "handshake", MS..=HOUR);
+    time(&mut links.write, "write", MS..=HOUR);
+    node.done();
+    (limits, links)
+}
+
+/// What the module is told, the grace, and the last line's rate for cold servers.
+fn settings(
+    front: &Node<'_>,
+    policy: Option<Node<'_>>,
+    classes: &[ClassEntry],
+    publishers: &[Publisher],
+) -> (Settings, u64, Option<f64>) {
+    let mut settings = Settings {
+        // One that was reported already shall not make every ordinal wrong as well.
+        fronts: front.whole("fronts", 1..=100_000).unwrap_or(if front.has("fronts") { 100_000 } else { 1 })
+            as u32,
+        ordinal: front.whole("ordinal", 0..=99_999).unwrap_or(0) as u32,
+        own_number: None,
+        classes: classes.iter().map(|c| c.class.clone()).collect(),
+        tenants: publishers.iter().map(|p| baydrift::interface::Tenant { quota_per_s: p.quota }).collect(),
+        over_share_worth: 1.0,
+        max_attempts: 5,
+        may_cancel: true,
+        may_probe: false,
+        may_tell_peers: true,
+        max_retry_after: 0,
+        reports: ReportPath::Answers,
+        subscribe: false,
+        // Diameter over TCP: the transport repeats nothing that the application sees.
+        resend_after: 0,
+        release_guard: 300 * MS,
+        cold_from: 0.33,
+        ramp_time: 13 * S,
+        fall_multiple: 2.0,
+        fall_time: 1_500 * MS,
+    };
+    let mut grace = S;
+    let Some(node) = policy else { return (settings, grace, None) };
+    if let Some(value) = node.whole("max-attempts", 1..=5) {
+        settings.max_attempts = value as u32;
+    }
+    let times = [
+        ("release-guard", 300 * MS..=60 * S, &mut settings.release_guard),
+        ("ramp", 0..=HOUR, &mut settings.ramp_time),
+        ("fall-time", MS..=HOUR, &mut settings.fall_time),
+        ("max-retry-after", 0..=HOUR, &mut settings.max_retry_after),
+        ("grace", 0..=S, &mut grace),
+    ];
+    for (key, range, to) in times {
+        if let Some(value) = node.time(key, range) {
+            *to = value;
+        }
+    }
+    let numbers = [
+        ("over-share-worth", 0.0..=1.0, &mut settings.over_share_worth),
+        ("cold-from", 0.01..=1.0, &mut settings.cold_from),
+        ("fall-multiple", 0.1..=100.0, &mut settings.fall_multiple),
+    ];
+    for (key, range, to) in numbers {
+        if let Some(value) = node.number(key, range) {
+            *to = value;
+        }
+    }
+    let cold_rate = node.number("cold-rate", 0.1..=1e6);
+    node.done();
+    (settings, grace, cold_rate)
+}
--- /dev/null
+++ b/crates/config/tests/config.rs
@@ -0,0 +1,97 @@
+//! Good and broken configurations: each problem is found, with its line and column.
+
+use baydrift_config::parse;
+
+const GOOD: &str = r#"
+front "front1.edge.test" realm="edge.test" {
+    listen "127.0.0.1:0"
+    serves "core.test"
+    watchdog "6s"
+    fronts 3
+    ordinal 1
+}
+class "grid" { context "grid@lone.test"; aim "2s"; deadline "9s"; gives-up "3s"; worth 1; late-worth 0.25; }
+class "check" { context "check@lone.test" "check2@lone.test"; aim "1.5s"; worth 2; servers 0; repeat "within" repeat-window="5s"; }
+publisher "gulf" quota=100 { realm "gulf.test"; subscription "gulf:"; }
+client "gw.gulf.test" realm="gulf.test" connections=4
+server "s0.core.test" realm="core.test" number=0 addr="127.0.0.1:3868"
+server "s1.core.test" realm="core.test" number=1 addr="127.0.0.1:3869" state="draining"
+policy { max-attempts 5; release-guard "300ms"; grace "500ms"; cold-rate 12.5; }
+limits { calls 1000; half-open 8; message-bytes 4096; remember-for "60s"; }
+pool listen="127.0.0.1:0" token="secret"
+fleet bind="127.0.0.1:0" { front ordinal=0 addr="127.0.0.1:9000"; front ordinal=2 addr="127.0.0.1:9001"; }
+"#;
+
+/// Problems as "line:column text".
+fn wrong(text: &str) -> Vec<String> {
+    match parse("test.kdl", text) {
+        Ok(_) => Vec::new(),
+        Err(error) => error.problems.iter().map(ToString::to_string).collect(),
+    }
+}
+
+#[test]
+fn a_whole_configuration_is_read() {
+    let config = parse("test.kdl", GOOD).unwrap_or_else(|e| panic!("{:?}", e.problems));
+    assert_eq!((config.settings.fronts, config.settings.ordinal), (3, 1));
+    assert_eq!(config.classes[1].contexts.len(), 2);
+    assert_eq!(config.settings.classes[1].aim, 1_500_000);
+    assert_eq!((config.limits.grace, config.limits.cold_rate), (500_000, Some(12.5)));
+    assert_eq!((config.limits.calls, config.links.half_open), (1000, 8));
+    assert_eq!(config.fleet.unwrap().fronts.len(), 2);
+}
+
+#[test]
+fn each_broken_line_is_pointed_at() {
+    let cases = [
+        ("watchdog \"6s\"", "watchdog 300", "5:14: watchdog wants a time with a unit"),
+        ("watchdog \"6s\"", "watchdog \"6 parsecs\"", "5:14: watchdog wants a time with a unit"),
+        ("watchdog \"6s\"", "watchdog \"1ms\"", "5:14: watchdog wants a time from 50ms to 3600s"),
+        ("watchdog \"6s\"", "watchdgo \"6s\"", "5:5: front knows no watchdgo"),
+        ("ordinal 1", "ordinal 3", "7:13: ordinal must be less than fronts"),
+        ("ordinal 1", "ordinal -1", "7:13: ordinal wants a whole number from 0 to 99999"),
+        (
+            "listen \"127.0.0.1:0\"",
+            "listen \"here\"",
+            "3:12: listen wants an address and a port, not \"here\"",
+        ),
+        ("worth 1;", "worth \"much\";", "9:88: worth wants a number from 0 to 1000000"),
+        ("max-attempts 5", "max-attempts 6", "15:23: max-attempts wants a whole number from 1 to 5"),
+        (
+            "release-guard \"300ms\"",
+            "release-guard \"100ms\"",
+            "15:40: release-guard wants a time from 300ms to 60s",
+        ),
+        ("number=1 ", "number=0 ", "14:41: another server has 0 already"),
+        ("\"s1.core", "\"s0.core", "14:8: another server has s0.core.test already"),
+        ("client \"gw", "klient \"gw", "12:1: no setting is called klient"),
+        ("realm=\"gulf.test\" connections", "connections", "12:1: client lacks realm"),
+        ("servers 0;", "servers 7;", "2:1: class check: no server has number 7"),
+        ("repeat \"within\"", "repeat \"maybe\"", "10:102: repeat is none of safe, within, never"),
+        ("front ordinal=2", "front ordinal=1", "2:1: fleet: 1 is no other front's ordinal"),
+    ];
+    for (from, to, want) in cases {
+        assert!(GOOD.contains(from), "{from}");
+        let found = wrong(&GOOD.replacen(from, to, 1));
+        assert!(found.iter().any(|problem| problem == want), "{to}: wanted {want:?}, found {found:?}");
+    }
+}
+
+#[test]
+fn all_problems_are_told_at_once_in_order() {
+    let broken =
+        GOOD.replace("worth 1;", "worth -1;").replace("fronts 3", "fronts 0").replace("client", "klient");
+    let found = wrong(&broken);
+    assert_eq!(found.len(), 4, "{found:?}");
+    assert!(found[0].starts_with("2:1: no client may connect"), "{found:?}");
+}
+
+#[test]
+fn what_is_no_kdl_is_told_with_its_place() {
+    let found = wrong("front \"a\" {\n  listen \"127.0.0.1:0\n}\n");
+    assert!(
+        !found.is_empty() && found.iter().all(|p| p.split(':').next().unwrap().parse::<u32>().is_ok()),
+        "{found:?}"
+    );
+    assert_eq!(wrong(""), ["1:1: front is missing"]);
+}
--- /dev/null
+++ b/crates/desk/src/desk.rs
@@ -0,0 +1,584 @@
+//! The desk: messages in, messages out, the engine between them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use baydrift::interface::{ListKind, Micros, ServerId};
+use baydrift_call::guard::Breach;
+use baydrift_call::{
+    AttemptId, Counts, Engine, EngineError, Final, Input, LinkId, LinkState, Offer, Output, Policy,
+    ReleaseResult, Request, Session,
+};
+use baydrift_config::Config;
+use baydrift_diameter::credit::{self, Ccr, Ends, RequestType};
+use baydrift_diameter::{code, dict, load, result, Avp, Fault, Message, Remote};
+use tracing::{debug, debug_span, Span};
+
+use crate::doors::Opened;
+use crate::facts::Table;
+use crate::meaning::{code_of, end_of};
+use crate::pool::{PoolError, PoolList, Roster};
+use crate::transit::Kind;
+
+/// AVPs of a caller's CCR that do not go on to the server: they belong to one hop or one session.
+const OF_ONE_HOP: [u32; 14] = [
+    dict::SESSION_ID,
+    dict::ORIGIN_HOST,
+    dict::ORIGIN_REALM,
+    dict::ORIGIN_STATE_ID,
+    dict::DESTINATION_HOST,
+    dict::DESTINATION_REALM,
+    dict::AUTH_APPLICATION_ID,
+    dict::SERVICE_CONTEXT_ID,
+    dict::CC_REQUEST_TYPE,
+    dict::CC_REQUEST_NUMBER,
+    dict::CC_CORRELATION_ID,
+    dict::PROXY_INFO,
+    dict::OC_SUPPORTED_FEATURES,
+    dict::INBAND_SECURITY_ID,
+];
+
+/// What happened.
+#[derive(Debug, Clone, PartialEq)]
+pub enum DeskInput {
+    /// A client's capabilities were exchanged.
+    ClientUp {
+        /// Its link.
+        link: LinkId,
+        /// Who it is.
+        opened: Opened,
+    },
+    /// A client's link is gone.
+    ClientDown(LinkId),
+    /// A client's request of the application.
+    ClientRequest {
+        /// Its link.
+        link: LinkId,
+        /// The request.
+        message: Message,
+    },
+    /// A server's link may be used.
+    ServerUp {
+        /// The server.
+        server: ServerId,
+        /// Its Origin-State-Id.
+        state_id: Option<u32>,
+    },
+    /// A server's watchdog is unanswered.
+    ServerSuspect(ServerId),
+    /// A server's link is gone.
+    ServerDown(ServerId),
+    /// A server said that it leaves.
+    ServerDrains(ServerId),
+    /// A server answered a request.
+    ServerAnswer {
+        /// The server.
+        server: ServerId,
+        /// Of which attempt.
+        attempt: AttemptId,
+        /// Which request.
+        kind: Kind,
+        /// The answer.
+        message: Message,
+    },
+    /// A server's request of the application.
+    ServerRequest {
+        /// The server.
+        server: ServerId,
+        /// The request.
+        message: Message,
+    },
+    /// A message from another front.
+    Fleet {
+        /// Its ordinal.
+        from: u32,
+        /// What it said.
+        payload: Vec<u8>,
+    },
+    /// Time has passed.
+    Tick,
+    /// The front stops: what is undecided is answered, nothing new is taken.
+    Stop,
+    /// The front cannot wait for its standing calls any longer.
+    CutAll,
+}
+
+/// What is to be sent.
+#[derive(Debug, Clone, PartialEq)]
+pub enum DeskOutput {
+    /// To a client.
+    ToClient {
+        /// Its link.
+        link: LinkId,
+        /// The message; a request still wants its hop-by-hop id.
+        message: Message,
+    },
+    /// A request to a server.
+    ToServer {
+        /// The server.
+        server: ServerId,
+        /// For which attempt.
+        attempt: AttemptId,
+        /// Which request.
+        kind: Kind,
+        /// The message; it still wants its hop-by-hop id.
+        message: Message,
+    },
+    /// An answer to a server's request.
+    Reply {
+        /// The server.
+        server: ServerId,
+        /// The answer.
+        message: Message,
+    },
+    /// To another front.
+    ToFront {
+        /// Its ordinal.
+        to: u32,
+        /// What to say.
+        payload: Vec<u8>,
+    },
+}
+
+/// What the desk holds, for logs and tests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Held {
+    /// Calls, in set-up or standing.
+    pub calls: usize,
+    /// Of them, without their answer.
+    pub in_set_up: usize,
+    /// Attempts to be released.
+    pub orphans: usize,
+    /// Requests that wait for an answer.
+    pub tickets: usize,
+    /// Answers remembered.
+    pub remembered: usize,
+}
+
+/// What goes with a call until its answer.
+#[derive(Debug, Clone)]
+struct Payload {
+    request: Arc<Message>,
+    span: Span,
+}
+
+impl PartialEq for Payload {
+    fn eq(&self, other: &Self) -> bool {
+        self.request == other.request
+    }
+}
+
+#[derive(Debug)]
+struct ClientLink {
+    remote: Remote,
+    relay: bool,
+}
+
+/// See the crate's page.
+#[derive(Debug)]
+pub struct Desk {
+    host: String,
+    realm: String,
+    boot: u32,
+    table: Table,
+    roster: Roster,
+    contexts: Vec<String>,
+    servers: BTreeMap<ServerId, (String, String)>,
+    engine: Engine<Payload>,
+    clients: BTreeMap<LinkId, ClientLink>,
+    tickets: BTreeMap<Request, (Arc<Message>, Span)>,
+    next_ticket: u64,
+    /// Origin-State-Ids by host; only configured hosts get here.
+    state_ids: BTreeMap<String, u32>,
+    outputs: Vec<Output<Payload>>,
+    faults: u64,
+}
+
+impl Desk {
+    /// A desk by a configuration. `boot` tells this process from earlier ones in Session-Ids.
+    ///
+    /// # Errors
+    /// Where the engine cannot be made of the settings.
+    pub fn new(config: &Config, boot: u32, seed: u64) -> Result<Self, EngineError> {
+        Ok(Self::with_engine(
+            config,
+            boot,
+            Engine::new(config.settings.clone(), config.limits.clone(), seed)?,
+        ))
+    }
+
+    /// A desk with another policy than the module, for comparisons.
+    ///
+    /// # Errors
+    /// As [`Desk::new`].
+    pub fn with_policy(config: &Config, boot: u32, policy: Box<dyn Policy>) -> Result<Self, EngineError> {
+        let engine = Engine::with_policy(config.settings.clone(), config.limits.clone(), policy)?;
+        Ok(Self::with_engine(config, boot, engine))
+    }
+
+    fn with_engine(config: &Config, boot: u32, mut engine: Engine<Payload>) -> Self {
+        engine.handle(0, Input::List(ListKind::Full, Roster::first(config)), &mut Vec::new());
+        Self {
+            host: config.host.clone(),
+            realm: config.realm.clone(),
+            boot,
+            table: Table::new(config),
+            roster: Roster::new(config),
+            contexts: config
+                .classes
+                .iter()
+                .map(|c| c.contexts.first().cloned().unwrap_or_default())
+                .collect(),
+            servers: config
+                .servers
+                .iter()
+                .map(|s| (u64::from(s.number), (s.host.clone(), s.realm.clone())))
+                .collect(),
+            engine,
+            clients: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            next_ticket: 0,
+            state_ids: BTreeMap::new(),
+            outputs: Vec::new(),
+            faults: 0,
+        }
+    }
+
+    /// Takes one input without looking at timers: all that waits is heard before time is let pass
+    /// ([`DeskInput::Tick`]), so that after an own stall drains come before set-ups.
+    pub fn hear(&mut self, now: Micros, input: DeskInput, out: &mut Vec<DeskOutput>) {
+        match input {
+            DeskInput::ClientUp { link, opened } => self.client_up(now, link, opened, out),
+            DeskInput::ClientDown(link) => self.client_down(now, link, out),
+            DeskInput::ClientRequest { link, message } => self.client_request(now, link, message, out),
+            DeskInput::ServerUp { server, state_id } => {
+                let host = self.servers.get(&server).map(|(host, _)| host.clone()).unwrap_or_default();
+                let restarted = self.restarted(&host, state_id);
+                self.link(now, server, LinkState::Up { restarted }, out);
+            }
+            DeskInput::ServerSuspect(server) => self.link(now, server, LinkState::Suspect, out),
+            DeskInput::ServerDown(server) => self.link(now, server, LinkState::Down, out),
+            DeskInput::ServerDrains(server) => self.engine(now, Input::Drains(server), out),
+            DeskInput::ServerAnswer { server, attempt, kind, message } => {
+                self.server_answer(now, server, attempt, kind, &message, out);
+            }
+            DeskInput::ServerRequest { server, message } => self.server_request(now, server, &message, out),
+            DeskInput::Fleet { from, payload } => self.engine(now, Input::Peer { from, payload }, out),
+            DeskInput::Tick => self.engine(now, Input::Tick, out),
+            DeskInput::Stop => self.engine(now, Input::Stop, out),
+            DeskInput::CutAll => self.engine(now, Input::CutAll, out),
+        }
+    }
+
+    /// Takes a pushed pool list.
+    ///
+    /// # Errors
+    /// Why it is not taken; the last good one holds.
+    pub fn pool(&mut self, now: Micros, list: &PoolList, out: &mut Vec<DeskOutput>) -> Result<(), PoolError> {
+        let (kind, entries) = self.roster.take(now, list)?;
+        self.engine(now, Input::List(kind, entries), out);
+        Ok(())
+    }
+
+    /// When [`DeskInput::Tick`] is wanted at the latest.
+    pub fn next_wake(&self) -> Option<Micros> {
+        self.engine.next_wake()
+    }
+
+    /// What the engine has counted.
+    pub fn counts(&self) -> &Counts {
+        self.engine.counts()
+    }
+
+    /// How often the engine held back what would have broken a rule.
+    pub fn held_back(&self) -> Vec<(&'static str, u64)> {
+        Breach::ALL.iter().map(|breach| (breach.name(), self.engine.held_back(*breach))).collect()
+    }
+
+    /// Requests turned down with a fault.
+    pub fn faults(&self) -> u64 {
+        self.faults
+    }
+
+    /// What is held.
+    pub fn held(&self) -> Held {
+        Held {
+            calls: self.engine.calls_held(),
+            in_set_up: self.engine.calls_in_set_up(),
+            orphans: self.engine.orphans(),
+            tickets: self.tickets.len(),
+            remembered: self.engine.remembered(),
+        }
+    }
+
+    /// Whether a host's process is another than the last one that was seen (RFC 6733, section 8.16).
+    fn restarted(&mut self, host: &str, state_id: Option<u32>) -> bool {
+        let Some(new) = state_id else { return false };
+        match self.state_ids.insert(host.to_owned(), new) {
+            Some(old) if old > new => {
+                self.state_ids.insert(host.to_owned(), old);
+                false
+            }
+            Some(old) => old < new,
+            None => false,
+        }
+    }
+
+    fn link(&mut self, now: Micros, server: ServerId, state: LinkState, out: &mut Vec<DeskOutput>) {
+        self.engine(now, Input::ServerLink { server, state }, out);
+    }
+
+    // --- clients ---
+
+    fn client_up(&mut self, now: Micros, link: LinkId, opened: Opened, out: &mut Vec<DeskOutput>) {
+        let Opened { remote, relay } = opened;
+        let restarted = self.restarted(&remote.host, remote.state_id);
+        let owner = Arc::from(remote.host.as_str());
+        self.clients.insert(link, ClientLink { remote, relay });
+        self.engine(now, Input::ClientUp { link, owner, restarted }, out);
+    }
+
+    fn client_down(&mut self, now: Micros, link: LinkId, out: &mut Vec<DeskOutput>) {
+        if self.clients.remove(&link).is_none() {
+            return;
+        }
+        let first = Request { link, ticket: 0 };
+        let last = Request { link, ticket: u64::MAX };
+        let gone: Vec<_> = self.tickets.range(first..=last).map(|(request, _)| *request).collect();
+        for request in gone {
+            self.tickets.remove(&request);
+        }
+        self.engine(now, Input::ClientDown(link), out);
+    }
+
+    fn client_request(&mut self, now: Micros, link: LinkId, message: Message, out: &mut Vec<DeskOutput>) {
+        let Some(client) = self.clients.get(&link) else { return };
+        let request = Request { link, ticket: self.next_ticket };
+        self.next_ticket += 1;
+        let input = match read_request(&self.table, client, request, &message) {
+            Ok(input) => input,
+            Err(fault) => {
+                self.faults += 1;
+                debug!(peer = client.remote.host, code = fault.code, "{}", fault.text);
+                let message = Message::refusal(&message, &fault, &self.host, &self.realm);
+                return out.push(DeskOutput::ToClient { link, message });
+            }
+        };
+        let payload = match &input {
+            Input::Offered(offer) => offer.payload.clone(),
+            _ => Payload { request: Arc::new(message), span: Span::none() },
+        };
+        self.tickets.insert(request, (payload.request, payload.span));
+        self.engine(now, input, out);
+    }
+
+    // --- servers ---
+
+    fn server_answer(
+        &mut self,
+        now: Micros,
+        server: ServerId,
+        attempt: AttemptId,
+        kind: Kind,
+        message: &Message,
+        out: &mut Vec<DeskOutput>,
+    ) {
+        debug!(server, attempt = attempt.0, ?kind, result = message.result(), "answer");
+        let input = match (kind, end_of(message)) {
+            (Kind::Release, _) => Input::ReleaseDone { attempt, report: load::read(message) },
+            (Kind::SetUp, None) => Input::Stands { attempt, report: load::read(message) },
+            (Kind::SetUp, Some(end)) => Input::Ended { attempt, end },
+        };
+        self.engine(now, input, out);
+    }
+
+    fn server_request(
+        &mut self,
+        now: Micros,
+        server: ServerId,
+        message: &Message,
+        out: &mut Vec<DeskOutput>,
+    ) {
+        let session = message.text(dict::SESSION_ID).unwrap_or("");
+        let attempt = self.attempt_of(session);
+        let (code, attempt) = match (message.header.code, attempt) {
+            (code::ABORT_SESSION, Some(attempt)) => (result::SUCCESS, Some(attempt)),
+            (code::ABORT_SESSION, None) => (result::UNKNOWN_SESSION_ID, None),
+            _ => (result::COMMAND_UNSUPPORTED, None),
+        };
+        let answer = Message::answer(message, code)
+            .with(Avp::text(dict::ORIGIN_HOST, &self.host))
+            .with(Avp::text(dict::ORIGIN_REALM, &self.realm));
+        out.push(DeskOutput::Reply { server, message: answer });
+        if let Some(attempt) = attempt {
+            self.engine(now, Input::Cut { attempt, report: load::read(message) }, out);
+        }
+    }
+
+    /// Session-Id towards servers: this host, this boot, the attempt (RFC 6733, section 8.8).
+    fn session_of(&self, attempt: AttemptId) -> String {
+        format!("{};{};{}", self.host, self.boot, attempt.0)
+    }
+
+    fn attempt_of(&self, session: &str) -> Option<AttemptId> {
+        let mut parts = session.rsplitn(3, ';');
+        let attempt = parts.next()?.parse().ok()?;
+        let boot: u32 = parts.next()?.parse().ok()?;
+        (boot == self.boot && parts.next()? == self.host).then_some(AttemptId(attempt))
+    }
+
+    // --- the engine ---
+
+    fn engine(&mut self, now: Micros, input: Input<Payload>, out: &mut Vec<DeskOutput>) {
+        let mut outputs = std::mem::take(&mut self.outputs);
+        outputs.clear();
+        if input == Input::Tick {
+            self.engine.handle(now, input, &mut outputs);
+        } else {
+            self.engine.hear(now, input, &mut outputs);
+        }
+        for output in outputs.drain(..) {
+            self.carry_out(output, out);
+        }
+        self.outputs = outputs;
+    }
+
+    fn carry_out(&mut self, output: Output<Payload>, out: &mut Vec<DeskOutput>) {
+        match output {
+            Output::SetUp { attempt, server, call, index, class, session, payload } => {
+                payload.span.in_scope(|| debug!(call, index, server, attempt = attempt.0, "set up"));
+                let message = self.set_up(attempt, server, class, &session, &payload.request);
+                out.push(DeskOutput::ToServer { server, attempt, kind: Kind::SetUp, message });
+            }
+            Output::Release { attempt, server, class } => {
+                let message = self.ccr(attempt, server, class, RequestType::Termination, 1);
+                // DIAMETER_LOGOUT (RFC 6733, section 8.15): the caller or this front is done with it.
+                let message = message.with(Avp::u32(dict::TERMINATION_CAUSE, 1));
+                out.push(DeskOutput::ToServer { server, attempt, kind: Kind::Release, message });
+            }
+            Output::Answer { request, session: _, answer } => self.answer(request, answer, out),
+            Output::AnswerRelease { request, result, .. } => {
+                let code = match result {
+                    ReleaseResult::Done => result::SUCCESS,
+                    ReleaseResult::Unknown => result::UNKNOWN_SESSION_ID,
+                };
+                if let Some((asked, _)) = self.tickets.remove(&request) {
+                    let message = credit::answer(&asked, code, &self.host, &self.realm);
+                    out.push(DeskOutput::ToClient { link: request.link, message });
+                }
+            }
+            Output::Dropped(request) => {
+                self.tickets.remove(&request);
+            }
+            Output::Cut { link, session, class: _ } => {
+                let Some(client) = self.clients.get(&link) else { return };
+                // A relay's callers are behind it: a Session-Id begins with its origin's name.
+                let origin = session.id.split(';').next().filter(|_| client.relay);
+                let ends = Ends {
+                    host: &self.host,
+                    realm: &self.realm,
+                    to_realm: &client.remote.realm,
+                    to_host: Some(origin.unwrap_or(&session.owner)),
+                };
+                out.push(DeskOutput::ToClient { link, message: credit::abort(ends, &session.id) });
+            }
+            Output::Tell { to, payload } => out.push(DeskOutput::ToFront { to, payload }),
+            // Lists are pushed: there is nothing to subscribe to.
+            Output::Watch => {}
+            Output::Log(text) => tracing::info!("{text}"),
+        }
+    }
+
+    fn answer(&mut self, request: Request, answer: Final, out: &mut Vec<DeskOutput>) {
+        let Some((asked, span)) = self.tickets.remove(&request) else { return };
+        let (code, text) = code_of(answer);
+        span.in_scope(|| debug!(code, "final answer"));
+        let mut message = credit::answer(&asked, code, &self.host, &self.realm);
+        message.avps.extend(text.map(|text| Avp::text(dict::ERROR_MESSAGE, text)));
+        if let Final::Refused { retry_after, .. } = answer {
+            if retry_after > 0 {
+                message.push(load::retry_after(retry_after));
+            }
+        }
+        out.push(DeskOutput::ToClient { link: request.link, message });
+    }
+
+    fn ccr(
+        &self,
+        attempt: AttemptId,
+        server: ServerId,
+        class: usize,
+        kind: RequestType,
+        number: u32,
+    ) -> Message {
+        let (host, realm) = self.servers.get(&server).map_or(("", ""), |(h, r)| (h.as_str(), r.as_str()));
+        let ends = Ends { host: &self.host, realm: &self.realm, to_realm: realm, to_host: Some(host) };
+        let context = self.contexts.get(class).map_or("", String::as_str);
+        credit::request(ends, &self.session_of(attempt), context, kind, number)
+    }
+
+    /// A set-up for a server: a session of its own, what the caller said of the call, where it came from.
+    fn set_up(
+        &self,
+        attempt: AttemptId,
+        server: ServerId,
+        class: usize,
+        session: &Session,
+        asked: &Message,
+    ) -> Message {
+        let mut message = self.ccr(attempt, server, class, RequestType::Initial, 0);
+        message
+            .avps
+            .extend(asked.avps.iter().filter(|a| a.vendor != 0 || !OF_ONE_HOP.contains(&a.code)).cloned());
+        message.push(Avp::text(dict::ROUTE_RECORD, &session.owner));
+        message.push(Avp::text(dict::CC_CORRELATION_ID, &format!("{}|{}", session.owner, session.id)));
+        message.push(Avp::group(dict::OC_SUPPORTED_FEATURES, &[Avp::u64(dict::OC_FEATURE_VECTOR, 1)]));
+        message
+    }
+}
+
+/// What a client's request asks of the engine.
+fn read_request(
+    table: &Table,
+    client: &ClientLink,
+    request: Request,
+    message: &Message,
+) -> Result<Input<Payload>, Fault> {
+    if message.header.code != code::CREDIT_CONTROL {
+        return Err(Fault::new(result::COMMAND_UNSUPPORTED, "only credit control is served"));
+    }
+    let ccr = Ccr::read(message)?;
+    if ccr.origin_host != client.remote.host && !client.relay {
+        let text = format!("{} speaks for {}, and is no relay", client.remote.host, ccr.origin_host);
+        return Err(Fault::new(result::UNKNOWN_PEER, text));
+    }
+    // The owner is the peer that shows the session, and the peer is known by its connection: no other client
+    // can release it. A Session-Id begins with its origin's name, so relayed ones do not collide.
+    let session = Session { owner: Arc::from(client.remote.host.as_str()), id: Arc::from(ccr.session) };
+    match ccr.request_type {
+        RequestType::Initial => {
+            let facts = table.facts(message, &ccr)?;
+            let span = debug_span!("call", session = ccr.session);
+            Ok(Input::Offered(Offer {
+                session,
+                request,
+                class: facts.class,
+                tenant: facts.tenant,
+                number: facts.number,
+                first_choice: facts.first_choice,
+                gives_up_in: facts.gives_up,
+                redial: None,
+                was_cut: false,
+                payload: Payload { request: Arc::new(message.clone()), span },
+            }))
+        }
+        RequestType::Termination => Ok(Input::Released { session, request }),
+        RequestType::Update => Ok(Input::Refreshed { session, request }),
+        RequestType::Event => {
+            let text = "one-time events are not served: a call is set up and released";
+            let avp = message.find(dict::CC_REQUEST_TYPE).cloned();
+            let fault = Fault::new(result::UNABLE_TO_COMPLY, text);
+            Err(avp.into_iter().fold(fault, Fault::with))
+        }
+    }
+}
--- /dev/null
+++ b/crates/desk/src/lib.rs
@@ -0,0 +1,20 @@
+//! Between Diameter and the call engine, without I/O: which request is which call, which answer ends which
+//! attempt, what each Result-Code means, and who may connect at all.
+//!
+//! [`Desk`] owns the [`baydrift_call::Engine`]. A driver hands it messages whose base protocol a
+//! [`baydrift_diameter::Peer`] has checked, and sends what comes out. [`Doors`] counts connections before and
+//! after their capabilities exchange. [`Transit`] is one server link's memory of requests sent.
+
+mod desk;
+mod doors;
+mod facts;
+mod meaning;
+mod pool;
+mod transit;
+
+pub use desk::{Desk, DeskInput, DeskOutput, Held};
+pub use doors::{Doors, Opened};
+pub use facts::{number_of, Facts, Table};
+pub use meaning::{code_of, end_of};
+pub use pool::{PoolEntry, PoolError, PoolList};
+pub use transit::{Kind, Transit};
--- /dev/null
+++ b/crates/desk/src/meaning.rs
@@ -0,0 +1,31 @@
+//! What Result-Codes mean to the module, and what its answers are on the wire. `docs/operate/results.md` has
+//! both as tables.
+
+use baydrift::interface::{Note, Outcome};
+use baydrift_call::{AttemptEnd, Final};
+use baydrift_diameter::{load, result, Message};
+
+/// How a set-up ended by its answer; `None` when it stands.
+pub fn end_of(answer: &Message) -> Option<AttemptEnd> {
+    let report = load::read(answer);
+    let wait = report.wait_s.map_or(0, |s| (s * 1e6) as u64);
+    let (outcome, note) = match answer.result() {
+        2000..=2999 => return None,
+        result::TOO_BUSY => (Outcome::Full, Note::ProcessorFull(wait)),
+        result::RESOURCES_EXCEEDED => (Outcome::Full, Note::NoLine),
+        result::END_USER_SERVICE_DENIED => (Outcome::Error, Note::NumberBusy),
+        // An agent on the way could not hand it on: it never ran.
+        result::UNABLE_TO_DELIVER | result::REALM_NOT_SERVED => (Outcome::Moot, Note::None),
+        _ => (Outcome::Error, Note::None),
+    };
+    Some(AttemptEnd { outcome, note, report })
+}
+
+/// The Result-Code and Error-Message of a final answer.
+pub fn code_of(answer: Final) -> (u32, Option<&'static str>) {
+    match answer {
+        Final::Stands => (result::SUCCESS, None),
+        Final::Refused { .. } => (result::TOO_BUSY, Some("refused")),
+        Final::Failed => (result::UNABLE_TO_COMPLY, Some("failed")),
+    }
+}
--- a/crates/diameter/src/peer.rs
+++ b/crates/diameter/src/peer.rs
@@ -185,6 +185,9 @@
 /// Time for a connection, a CEA or a DPA.
 pub const TRANSIENT: Micros = 5_000_000;
 
+/// A peer that said it leaves may finish what it holds for so long.
+const LINGER: Micros = 60_000_000;
+
 impl Peer {
     /// A peer that is closed. `expect` names the other end where this one connects; `watchdog` is Tw;
     /// `end_to_end` the first End-to-End Identifier (section 3: time in its high bits).
@@ -392,7 +395,7 @@
             self.watch(now, if is_dwa { WatchdogEvent::Answer } else { WatchdogEvent::Other }, out);
         }
         if message.header.flags.request {
-            self.received_request(side, message, out);
+            self.received_request(now, side, message, out);
         } else if message.header.code == code::DISCONNECT {
             if matches!(self.state, State::Closing(_)) {
                 out.push(PeerOutput::Close(side, Reason::Disconnected));
@@ -440,7 +443,7 @@
         }
     }
 
-    fn received_request(&mut self, side: Side, message: Message, out: &mut Vec<PeerOutput>) {
+    fn received_request(&mut self, now: Micros, side: Side, message: Message, out: &mut Vec<PeerOutput>) {
         if let Err(fault) = dict::check(&message) {
             return self.refuse(side, &message, &fault, out);
         }
@@ -457,9 +460,9 @@
                 let cause = message.number(dict::DISCONNECT_CAUSE).unwrap_or(cause::REBOOTING);
                 out.push(PeerOutput::Draining(cause));
                 if !closing {
+                    // The other end closes the transport when it is ready; not for ever.
                     self.state = State::Closing(side);
-                    // The other end closes the transport when it is ready; its watchdog is its own affair.
-                    self.timeout_at = Micros::MAX;
+                    self.timeout_at = now.saturating_add(LINGER);
                 }
             }
             (0, code::CAPABILITIES) => {
