--- /dev/null
+++ b/crates/audit/src/lib.rs
@@ -0,0 +1,15 @@
+//! What crossed the sockets, and what it shows.
+//!
+//! Stand-ins write a [`Line`] for each message that they read or send, with one clock. [`rules`] checks the
+//! five rules, [`service`] counts service as the users do; both read the record alone, never a front's word.
+//!
+//! Messages are timed where a stand-in reads or writes them, so two of them that one front sent in order to
+//! two servers can be seen in a slightly different distance: [`SLACK`] is what that may be.
+
+mod record;
+mod rules;
+mod service;
+
+pub use record::{read_record, Line, Moment, RecordError, Recorder};
+pub use rules::{rules, Breach, Terms, Verdict, SLACK};
+pub use service::{service, ClassTerms, Latency, Service, Shares};
--- /dev/null
+++ b/crates/audit/src/record.rs
@@ -0,0 +1,161 @@
+//! The record: one line of JSON for each moment.
+
+use std::io::{BufRead, Write};
+use std::sync::Mutex;
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+
+/// One line: when, and what.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    /// Microseconds since the record began.
+    pub at: u64,
+    /// What.
+    #[serde(flatten)]
+    pub moment: Moment,
+}
+
+/// What stand-ins see. A call is named by its owner and session, "owner|session", at both ends.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "moment", rename_all = "kebab-case")]
+#[allow(missing_docs)]
+pub enum Moment {
+    /// A caller offers a call to a front. `first` is the call that it repeats, if it is dialled again.
+    Offer {
+        front: u32,
+        call: String,
+        first: Option<String>,
+        class: usize,
+        publisher: usize,
+        hot: bool,
+        gives_up_us: u64,
+    },
+    /// The caller says the same request again.
+    Again { front: u32, call: String },
+    /// A caller reads its final answer.
+    Answer { front: u32, call: String, code: u32 },
+    /// A caller gives up unanswered.
+    GiveUp { front: u32, call: String },
+    /// A caller releases.
+    Hangup { front: u32, call: String },
+    /// A caller is told that its call was cut.
+    Cut { front: u32, call: String },
+    /// A caller's connection ended.
+    Parted { front: u32, client: String },
+    /// A server reads a set-up.
+    SetUp { server: u16, front: u32, call: String, attempt: String, redirected: bool },
+    /// A server answers a set-up.
+    Reply { server: u16, attempt: String, code: u32, lost: bool },
+    /// A server reads a release.
+    Release { server: u16, attempt: String },
+    /// A server reads a watchdog request that it will not answer.
+    Mute { server: u16, front: u32 },
+    /// The connection between a front and a server ended.
+    Unlinked { server: u16, front: u32 },
+    /// A front was told that a server is ready, or not: by the list, or by the server itself.
+    Told { server: u16, front: u32, ready: bool, by_list: bool },
+    /// A server's process starts.
+    Start { server: u16, cold: bool },
+    /// A server's process ends.
+    Die { server: u16 },
+    /// A cold server was sent more than it can do: rule 4.
+    Fall { server: u16 },
+    /// A front's process stands still from now on for so long.
+    Stall { front: u32, us: u64 },
+    /// A front's process is killed.
+    Killed { front: u32 },
+}
+
+/// Collects lines from all stand-ins of a run, with one clock.
+#[derive(Debug)]
+pub struct Recorder {
+    start: Instant,
+    lines: Mutex<Vec<Line>>,
+}
+
+impl Default for Recorder {
+    fn default() -> Self {
+        Self { start: Instant::now(), lines: Mutex::default() }
+    }
+}
+
+impl Recorder {
+    /// Microseconds since the record began.
+    pub fn now(&self) -> u64 {
+        self.start.elapsed().as_micros() as u64
+    }
+
+    /// Adds a moment, now.
+    pub fn put(&self, moment: Moment) {
+        let mut lines = self.lines.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        // The clock is read under the lock: lines are in order of time.
+        lines.push(Line { at: self.now(), moment });
+    }
+
+    /// All lines so far.
+    pub fn lines(&self) -> Vec<Line> {
+        self.lines.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+    }
+
+    /// Writes all lines.
+    ///
+    /// # Errors
+    /// Those of the writer.
+    pub fn write(&self, to: impl Write) -> std::io::Result<()> {
+        let mut to = std::io::BufWriter::new(to);
+        for line in self.lines() {
+            serde_json::to_writer(&mut to, &line)?;
+            to.write_all(b"\n")?;
+        }
+        to.flush()
+    }
+}
+
+/// Why a record cannot be read.
+#[derive(Debug, thiserror::Error)]
+pub enum RecordError {
+    /// The file cannot be read.
+    #[error("line {line}: {error}")]
+    Io {
+        /// From 1.
+        line: usize,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// A line is none of a record's.
+    #[error("line {line}: {error}")]
+    Line {
+        /// From 1.
+        line: usize,
+        /// Why.
+        error: serde_json::Error,
+    },
+    /// A line is earlier than the one before.
+    #[error("line {line}: earlier than the line before")]
+    Order {
+        /// From 1.
+        line: usize,
+    },
+}
+
+/// Reads a record.
+///
+/// # Errors
+/// The first line that is none, or out of order.
+pub fn read_record(from: impl BufRead) -> Result<Vec<Line>, RecordError> {
+    let mut lines: Vec<Line> = Vec::new();
+    for (index, text) in from.lines().enumerate() {
+        let line = index + 1;
+        let text = text.map_err(|error| RecordError::Io { line, error })?;
+        if text.trim().is_empty() {
+            continue;
+        }
+        let next: Line = serde_json::from_str(&text).map_err(|error| RecordError::Line { line, error })?;
+        if lines.last().is_some_and(|last| next.at < last.at) {
+            return Err(RecordError::Order { line });
+        }
+        lines.push(next);
+    }
+    Ok(lines)
+}
--- /dev/null
+++ b/crates/audit/tests/planted.rs
@@ -0,0 +1,168 @@
+//! Each check catches a planted breach, and a clean record passes all.
+
+use baydrift_audit::{read_record, rules, service, ClassTerms, Line, Moment, Recorder, Terms};
+
+const MS: u64 = 1_000;
+const NONE: [u8; 0] = [];
+
+fn offer(call: &str) -> Moment {
+    let call = call.to_owned();
+    Moment::Offer { front: 0, call, first: None, class: 0, publisher: 0, hot: false, gives_up_us: 3_000 * MS }
+}
+
+fn answer(call: &str, code: u32) -> Moment {
+    Moment::Answer { front: 0, call: call.into(), code }
+}
+
+fn set_up(server: u16, call: &str, attempt: &str) -> Moment {
+    Moment::SetUp { server, front: 0, call: call.into(), attempt: attempt.into(), redirected: false }
+}
+
+fn reply(server: u16, attempt: &str, code: u32) -> Moment {
+    Moment::Reply { server, attempt: attempt.into(), code, lost: false }
+}
+
+fn release(server: u16, attempt: &str) -> Moment {
+    Moment::Release { server, attempt: attempt.into() }
+}
+
+/// Lines by milliseconds.
+fn record(moments: Vec<(u64, Moment)>) -> Vec<Line> {
+    moments.into_iter().map(|(ms, moment)| Line { at: ms * MS, moment }).collect()
+}
+
+/// A call that times out at one server and stands at another, after all guards.
+fn clean() -> Vec<(u64, Moment)> {
+    vec![
+        (0, offer("c|1")),
+        (1, set_up(0, "c|1", "a1")),
+        (900, release(0, "a1")),
+        (1_250, set_up(1, "c|1", "a2")),
+        (1_300, reply(1, "a2", 2001)),
+        (1_301, answer("c|1", 2001)),
+        (9_000, release(1, "a2")),
+    ]
+}
+
+fn broken(moments: Vec<(u64, Moment)>) -> Vec<u8> {
+    let verdict = rules(&record(moments), Terms::default());
+    verdict.breaches.iter().map(|breach| breach.rule).collect()
+}
+
+fn with(change: impl Fn(&mut Vec<(u64, Moment)>)) -> Vec<u8> {
+    let mut moments = clean();
+    change(&mut moments);
+    moments.sort_by_key(|(at, _)| *at);
+    broken(moments)
+}
+
+#[test]
+fn a_clean_record_passes() {
+    let verdict = rules(&record(clean()), Terms::default());
+    assert_eq!((verdict.kept(), verdict.calls, verdict.answered), (true, 1, 1), "{:?}", verdict.breaches);
+    assert_eq!(verdict.shortest_guard, Some(350 * MS));
+}
+
+#[test]
+fn rule_1_catches_no_answer_two_answers_late_answers_and_set_ups_after() {
+    assert_eq!(with(|m| m.retain(|(_, x)| !matches!(x, Moment::Answer { .. }))), [1]);
+    assert_eq!(with(|m| m.push((1_400, answer("c|1", 3004)))), [1]);
+    assert_eq!(with(|m| m.push((1_400, answer("c|1", 2001)))), NONE);
+    assert_eq!(with(|m| m[5] = (3_100, answer("c|1", 2001))), [1]);
+    assert_eq!(with(|m| m.push((2_000, set_up(0, "c|1", "a3")))), [1]);
+    assert_eq!(with(|m| m.push((2_000, answer("c|9", 2001)))), [1]);
+    // Excused: the front stood still when the caller gave up; the connection ended.
+    let stall = Moment::Stall { front: 0, us: 2_000_000 };
+    assert_eq!(with(|m| m.extend([(2_000, stall.clone()), (4_100, answer("c|1", 2001))])), NONE);
+    let parted = Moment::Parted { front: 0, client: "c".into() };
+    assert_eq!(
+        with(|m| {
+            m[5] = (1_301, parted.clone());
+        }),
+        NONE
+    );
+}
+
+#[test]
+fn rule_2_catches_a_second_attempt() {
+    assert_eq!(with(|m| m[2] = (1_260, release(0, "a1"))), [2]);
+    // A lost answer ends nothing; a server that left watchdogs unanswered is out.
+    let lost = Moment::Reply { server: 0, attempt: "a1".into(), code: 3004, lost: true };
+    assert_eq!(with(|m| m[2] = (900, lost.clone())), [2]);
+    assert_eq!(with(|m| m[2] = (900, Moment::Mute { server: 0, front: 0 })), NONE);
+    assert_eq!(with(|m| m[2] = (900, Moment::Unlinked { server: 0, front: 0 })), NONE);
+}
+
+#[test]
+fn rule_3_catches_a_set_up_after_a_drain() {
+    let told = |ready| Moment::Told { server: 1, front: 0, ready, by_list: true };
+    assert_eq!(with(|m| m.push((200, told(false)))), [3]);
+    assert_eq!(with(|m| m.push((300, told(false)))), NONE);
+    assert_eq!(with(|m| m.extend([(100, told(false)), (1_000, told(true))])), NONE);
+}
+
+#[test]
+fn rule_4_catches_a_fall() {
+    assert_eq!(with(|m| m.push((200, Moment::Fall { server: 1 }))), [4]);
+}
+
+#[test]
+fn rule_5_catches_an_early_resend_and_a_sixth_attempt() {
+    assert_eq!(with(|m| m[2] = (1_000, release(0, "a1"))), [5]);
+    // What was refused never ran: it may go elsewhere at once.
+    assert_eq!(with(|m| m[2] = (1_249, reply(0, "a1", 3004))), NONE);
+    let mut many = vec![(0, offer("c|1"))];
+    for n in 0..6u64 {
+        many.push((n * 10 + 1, set_up(0, "c|1", &format!("a{n}"))));
+        many.push((n * 10 + 2, reply(0, &format!("a{n}"), 3004)));
+    }
+    many.push((100, answer("c|1", 3004)));
+    many.push((5_000, offer("c|2")));
+    many.push((5_001, answer("c|2", 3004)));
+    assert_eq!(broken(many), [0]);
+}
+
+#[test]
+fn service_counts_worth_in_time_and_uncut() {
+    let classes =
+        [ClassTerms { name: "grid".into(), worth: 2.0, late_worth: 0.25, aim: 1_000 * MS, hot_worth: 0.1 }];
+    let again = |call: &str, first: &str| match offer(call) {
+        Moment::Offer { front, call, class, publisher, hot, gives_up_us, .. } => {
+            Moment::Offer { front, call, first: Some(first.into()), class, publisher, hot, gives_up_us }
+        }
+        other => other,
+    };
+    let lines = record(vec![
+        (0, offer("c|1")),
+        (0, offer("c|2")),
+        (0, offer("c|3")),
+        (0, offer("c|4")),
+        (500, answer("c|1", 2001)),
+        (600, answer("c|2", 3004)),
+        (700, answer("c|4", 2001)),
+        (800, Moment::Cut { front: 0, call: "c|4".into() }),
+        (900, again("c|5", "c|2")),
+        (1_500, answer("c|5", 2001)),
+        (2_000, answer("c|3", 5012)),
+    ]);
+    let seen = service(&lines, &classes, &["gulf".into()]);
+    // In time 2, late 0.5, failed 0, cut 0, of 8.
+    assert_eq!((seen.whole.calls, seen.whole.service()), (4, 2.5 / 8.0));
+    assert_eq!((seen.stands, seen.refused, seen.failed, seen.cut), (3, 1, 1, 1));
+    assert!(seen.latency.p50 >= 599 * MS && seen.latency.max >= 699 * MS);
+}
+
+#[test]
+fn a_record_is_written_and_read_whole_and_a_broken_line_is_named() {
+    let recorder = Recorder::default();
+    recorder.put(offer("c|1"));
+    recorder.put(Moment::Mute { server: 3, front: 1 });
+    let mut bytes = Vec::new();
+    recorder.write(&mut bytes).unwrap();
+    assert_eq!(read_record(&bytes[..]).unwrap(), recorder.lines());
+    bytes.extend_from_slice(b"{\"at\":1,\"moment\":\"dance\"}\n");
+    let error = read_record(&bytes[..]).unwrap_err().to_string();
+    assert!(error.starts_with("line 3: unknown variant"), "{error}");
+    let early = b"{\"at\":5,\"moment\":\"die\",\"server\":1}\n{\"at\":4,\"moment\":\"die\",\"server\":1}\n";
+    assert_eq!(read_record(&early[..]).unwrap_err().to_string(), "line 2: earlier than the line before");
+}
--- /dev/null
+++ b/crates/cli/src/demo.rs
@@ -0,0 +1,128 @@
+//! `baydrift demo`: the main job on an embedded default.
+
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use baydrift::interface::Report;
+use baydrift_audit::{rules, service, ClassTerms, Recorder, Terms};
+use baydrift_front::Bound;
+use baydrift_standin::{Caller, CallerSpec, Flow, Offers, ProcessorSpec, Server, ServerSpec};
+use miette::IntoDiagnostic;
+use tokio::sync::watch;
+
+use crate::front::{announce, told_to_stop};
+
+#[derive(clap::Args)]
+pub struct Args {
+    /// Ends after so long; without it, when told to stop.
+    #[arg(long)]
+    seconds: Option<f64>,
+    /// Calls a second of the built-in callers; 0 leaves the front to outside clients.
+    #[arg(long, default_value_t = 20.0)]
+    calls_per_second: f64,
+    /// Seed of all that is drawn.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+const CONFIG: &str = include_str!("demo.kdl");
+const SERVERS: u16 = 3;
+
+pub async fn run(args: Args) -> miette::Result<ExitCode> {
+    let recorder = Arc::new(Recorder::default());
+    let (mut servers, mut text) = (Vec::new(), CONFIG.to_owned());
+    for number in 0..SERVERS {
+        let server = Server::start(spec(number), recorder.clone(), args.seed + u64::from(number)).await;
+        let server = server.into_diagnostic()?;
+        text += &format!(
+            "server \"s{number}.demo.test\" realm=\"demo.test\" number={number} addr=\"{}\"\n",
+            server.addr
+        );
+        servers.push(server);
+    }
+    let config = baydrift_config::parse("the demo's configuration", &text)?;
+    let bound = Bound::bind(config.clone()).await.into_diagnostic()?;
+    announce(&config, &bound.addrs());
+    let addr = bound.addrs().diameter;
+    let front = bound.start().into_diagnostic()?;
+
+    let (offers, told) = watch::channel(Offers::default());
+    let flow = |class: usize, context: &str, share: f64| Flow {
+        class,
+        publisher: 0,
+        context: context.into(),
+        subscription: "demo:caller".into(),
+        rate: args.calls_per_second * share,
+        hold: 3_000_000,
+        patience: 3_000_000,
+    };
+    let callers = CallerSpec {
+        host: "callers.demo.test".into(),
+        realm: "demo.test".into(),
+        front: (0, config.host.clone(), config.realm.clone(), addr),
+        to_realm: config.realm.clone(),
+        servers: (0..SERVERS).map(|n| format!("s{n}.demo.test")).collect(),
+        flows: vec![flow(0, "lookup@demo.test", 0.8), flow(1, "check@demo.test", 0.2)],
+        watchdog: 6_000_000,
+    };
+    let callers = Caller::start(callers, told, recorder.clone(), args.seed);
+    let until = async {
+        match args.seconds {
+            Some(seconds) => tokio::time::sleep(Duration::from_secs_f64(seconds.clamp(0.0, 1e6))).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        () = until => {}
+        () = told_to_stop() => {}
+    }
+    offers.send_modify(|offers| offers.factor = 0.0);
+    let _ = tokio::time::timeout(Duration::from_millis(3_500), callers.ended()).await;
+    if let Some(snapshot) = front.snapshot().await {
+        tracing::info!(?snapshot, "the front's own counts");
+    }
+    // The stop cuts what still stands: no part of what the run shows.
+    let lines = recorder.lines();
+    front.stop().await;
+    let verdict = rules(&lines, Terms::default());
+    let terms: Vec<_> = config
+        .classes
+        .iter()
+        .map(|c| ClassTerms {
+            name: c.name.clone(),
+            worth: c.class.worth,
+            late_worth: c.class.late_worth,
+            aim: c.class.aim,
+            hot_worth: 1.0,
+        })
+        .collect();
+    print!("{}", baydrift_day::table(&verdict, &service(&lines, &terms, &["demo".into()])));
+    Ok(if verdict.kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn spec(number: u16) -> ServerSpec {
+    ServerSpec {
+        host: format!("s{number}.demo.test"),
+        realm: "demo.test".into(),
+        number,
+        processor: ProcessorSpec {
+            rate: 40.0,
+            release: 0.12,
+            refusal: 0.23,
+            most_wait: 2_500_000,
+            cold_from: 0.35,
+            ramp: 12_000_000,
+            fall_multiple: 2.0,
+            fall_time: 1_500_000,
+        },
+        report_period: 300_000,
+        report_delay: 100_000,
+        report_noise: 0.1,
+        tells: |report| Report { wait_s: report.wait_s, ..Report::default() },
+        connections: 64,
+        watchdog: 6_000_000,
+        fronts: BTreeMap::from([("front.demo.test".to_owned(), 0)]),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/front.rs
@@ -0,0 +1,67 @@
+//! `baydrift front` and `baydrift check`.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use baydrift_config::Config;
+use baydrift_front::{Addrs, Bound};
+use miette::IntoDiagnostic;
+
+fn load(path: &Path) -> miette::Result<Config> {
+    Ok(baydrift_config::parse(&path.display().to_string(), &crate::read(path)?)?)
+}
+
+pub fn check(path: &Path) -> miette::Result<ExitCode> {
+    let config = load(path)?;
+    println!(
+        "{}: good. {} classes, {} publishers, {} clients, {} servers; front {} of {}",
+        path.display(),
+        config.classes.len(),
+        config.publishers.len(),
+        config.clients.len(),
+        config.servers.len(),
+        config.settings.ordinal,
+        config.settings.fronts
+    );
+    Ok(ExitCode::SUCCESS)
+}
+
+/// One line of JSON for each listener.
+pub fn announce(config: &Config, addrs: &Addrs) {
+    let contexts: Vec<_> = config.classes.iter().flat_map(|class| &class.contexts).collect();
+    println!(
+        "{}",
+        serde_json::json!({
+            "listen": "diameter",
+            "addr": addrs.diameter.to_string(),
+            "origin_host": config.host,
+            "origin_realm": config.realm,
+            "service_context_ids": contexts,
+        })
+    );
+    for (what, addr) in [("pool", addrs.pool), ("fleet", addrs.fleet)] {
+        if let Some(addr) = addr {
+            println!("{}", serde_json::json!({"listen": what, "addr": addr.to_string()}));
+        }
+    }
+}
+
+/// Ends with the first SIGINT or SIGTERM.
+pub async fn told_to_stop() {
+    use tokio::signal::unix::{signal, SignalKind};
+    let Ok(mut term) = signal(SignalKind::terminate()) else { return std::future::pending().await };
+    tokio::select! {
+        _ = tokio::signal::ctrl_c() => {}
+        _ = term.recv() => {}
+    }
+}
+
+pub async fn run(path: &Path) -> miette::Result<ExitCode> {
+    let config = load(path)?;
+    let bound = Bound::bind(config.clone()).await.into_diagnostic()?;
+    announce(&config, &bound.addrs());
+    let front = bound.start().into_diagnostic()?;
+    told_to_stop().await;
+    front.stop().await;
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,80 @@
+//! `baydrift`: the call router's command line.
+
+mod day;
+mod demo;
+mod front;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use miette::{IntoDiagnostic, WrapErr};
+use tracing_subscriber::EnvFilter;
+
+/// A call router at a network's edge: sets calls up at a few central session servers over Diameter.
+#[derive(Parser)]
+#[command(version, about)]
+struct Args {
+    /// Form of the log, on standard error.
+    #[arg(long, global = true, value_enum, default_value = "text")]
+    log: LogForm,
+    /// What is logged: error, warn, info, debug, or a filter such as "baydrift_desk=debug".
+    #[arg(long, global = true, default_value = "warn")]
+    log_level: String,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogForm {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs a front until it is told to stop (SIGINT or SIGTERM).
+    Front {
+        /// Its configuration.
+        config: PathBuf,
+    },
+    /// Checks a configuration; all that is wrong with it, each with its line.
+    Check {
+        /// The configuration.
+        config: PathBuf,
+    },
+    /// A front with three stand-in servers and callers, all in this process on loopback.
+    Demo(demo::Args),
+    /// Plays a scripted day with real fronts on loopback; exit code 1 if a rule broke.
+    Day(day::Args),
+    /// Checks the rules in a record; exit code 1 if one broke.
+    Audit {
+        /// The record, as `baydrift day --record` writes it.
+        record: PathBuf,
+    },
+}
+
+fn main() -> miette::Result<ExitCode> {
+    let args = Args::parse();
+    let filter = EnvFilter::try_new(&args.log_level).into_diagnostic().wrap_err("--log-level")?;
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match args.log {
+        LogForm::Text => log.init(),
+        LogForm::Json => log.json().init(),
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().into_diagnostic()?;
+    match args.command {
+        Command::Front { config } => runtime.block_on(front::run(&config)),
+        Command::Check { config } => front::check(&config),
+        Command::Demo(args) => runtime.block_on(demo::run(args)),
+        Command::Day(args) => runtime.block_on(day::run(args)),
+        Command::Audit { record } => day::audit(&record),
+    }
+}
+
+/// A file's text, with its name in the error.
+fn read(path: &std::path::Path) -> miette::Result<String> {
+    std::fs::read_to_string(path)
+        .into_diagnostic()
+        .wrap_err_with(|| format!("cannot read {}", path.display()))
+}
--- /dev/null
+++ b/crates/day/src/baseline.rs
@@ -0,0 +1,107 @@
+//! Plain round robin, for comparison only: each call to the next ready server, again elsewhere when it fails.
+
+use std::collections::BTreeMap;
+
+use baydrift::interface::{
+    Action, Call, CallId, Event, ListKind, Micros, Note, Outcome, ServerId, ServerState, Settings,
+};
+use baydrift_call::Policy;
+
+/// Answers are given so long before the caller's time is up.
+const MARGIN: Micros = 30_000;
+
+#[derive(Debug)]
+struct Pending {
+    answer_by: Micros,
+    attempts: u32,
+    not_before: Micros,
+    out: Option<u16>,
+}
+
+/// The policy.
+#[derive(Debug)]
+pub struct RoundRobin {
+    settings: Settings,
+    servers: BTreeMap<ServerId, ServerState>,
+    last: ServerId,
+    calls: BTreeMap<CallId, Pending>,
+}
+
+impl RoundRobin {
+    /// Knows no servers yet.
+    pub fn new(settings: Settings) -> Self {
+        Self { settings, servers: BTreeMap::new(), last: 0, calls: BTreeMap::new() }
+    }
+
+    fn place(&mut self, now: Micros, id: CallId, actions: &mut Vec<Action>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let from_last = self.servers.range(self.last + 1..).chain(self.servers.range(..=self.last));
+        let next = from_last.filter(|(_, state)| **state == ServerState::Ready).map(|(id, _)| *id).next();
+        match next.filter(|_| call.attempts < self.settings.max_attempts && now + MARGIN < call.answer_by) {
+            Some(server) => {
+                self.last = server;
+                call.out = Some(call.attempts as u16);
+                call.attempts += 1;
+                actions.push(Action::Send { call: id, server, timeout: call.answer_by - now });
+            }
+            None => {
+                self.calls.remove(&id);
+                actions.push(Action::Refuse { call: id, retry_after: 0 });
+            }
+        }
+    }
+
+    fn taken(&mut self, now: Micros, call: &Call, actions: &mut Vec<Action>) {
+        let answer_by = now + call.gives_up_in.saturating_sub(MARGIN);
+        self.calls.insert(call.id, Pending { answer_by, attempts: 0, not_before: now, out: None });
+        actions.push(Action::Timer { at: answer_by, token: u64::from(call.id) });
+        self.place(now, call.id, actions);
+    }
+}
+
+impl Policy for RoundRobin {
+    fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::List(kind, entries) => {
+                if kind == ListKind::Full {
+                    self.servers.clear();
+                }
+                self.servers.extend(entries.iter().map(|entry| (entry.server, entry.state)));
+            }
+            Event::Call(call) => self.taken(now, &call, actions),
+            Event::Stands { call, .. } | Event::Abandoned(call) => drop(self.calls.remove(&call)),
+            Event::Ended { call, attempt, outcome, complete, note, .. } => {
+                let Some(pending) = self.calls.get_mut(&call).filter(|p| p.out == Some(attempt)) else {
+                    return;
+                };
+                pending.out = None;
+                if complete || note == Note::NumberBusy {
+                    self.calls.remove(&call);
+                    if !complete {
+                        actions.push(Action::Refuse { call, retry_after: 0 });
+                    }
+                } else if matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
+                    let at = now + self.settings.release_guard + 2_000;
+                    pending.not_before = at;
+                    actions.push(Action::Timer { at, token: u64::from(call) });
+                } else {
+                    self.place(now, call, actions);
+                }
+            }
+            Event::Timer(token) => {
+                let id = token as CallId;
+                let Some(pending) = self.calls.get(&id) else { return };
+                if now >= pending.answer_by {
+                    if let Some(attempt) = pending.out {
+                        actions.push(Action::Cancel { call: id, attempt });
+                    }
+                    self.calls.remove(&id);
+                    actions.push(Action::Fail(id));
+                } else if pending.out.is_none() && now >= pending.not_before {
+                    self.place(now, id, actions);
+                }
+            }
+            Event::Probed { .. } | Event::Peer { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/day/src/script.rs
@@ -0,0 +1,347 @@
+//! The script of a day, in KDL.
+
+use baydrift::interface::Micros;
+use baydrift_config::{parse_document, ConfigError, Node};
+
+const MS: u64 = 1_000;
+const S: u64 = 1_000_000;
+const HOUR: u64 = 3_600 * S;
+
+/// Which policy fronts run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// The decision module.
+    Baydrift,
+    /// Plain round robin.
+    RoundRobin,
+}
+
+/// A whole day.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Day {
+    /// Callers call for so long.
+    pub seconds: f64,
+    /// Seed of everything that is drawn.
+    pub seed: u64,
+    /// How many fronts.
+    pub fronts: u32,
+    /// Tw everywhere.
+    pub watchdog: Micros,
+    /// What fronts run.
+    pub policy: Policy,
+    /// What a pool list takes to reach fronts.
+    pub list_lag: Micros,
+    /// Calls a second, over all fronts.
+    pub calls_per_s: f64,
+    /// Redials of a caller.
+    pub redials: u32,
+    /// Mean wait before one.
+    pub redial_wait: Micros,
+    /// Share of set-ups said twice.
+    pub again: f64,
+    /// Servers.
+    pub servers: Servers,
+    /// Classes.
+    pub classes: Vec<Class>,
+    /// Publishers.
+    pub publishers: Vec<Publisher>,
+    /// Troubles.
+    pub troubles: Vec<Trouble>,
+}
+
+/// All servers; `rates` has one entry for each.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Servers {
+    /// Set-ups a second of each.
+    pub rates: Vec<f64>,
+    /// Work of a release, in set-ups.
+    pub release: f64,
+    /// Work of a refusal.
+    pub refusal: f64,
+    /// A set-up is refused once the wait passes this.
+    pub most_wait: Micros,
+    /// A cold one's fraction.
+    pub cold_from: f64,
+    /// Warm after.
+    pub ramp: Micros,
+    /// Falls over at this multiple ...
+    pub fall_multiple: f64,
+    /// ... for so long.
+    pub fall_time: Micros,
+    /// Load is measured this often.
+    pub report_period: Micros,
+    /// Known so much later.
+    pub report_delay: Micros,
+    /// Off by up to this fraction.
+    pub report_noise: f64,
+    /// What is told: wait, busy, rate, queue.
+    pub tells: Vec<String>,
+    /// One-way delay of the links to them.
+    pub link_delay: Micros,
+}
+
+/// A class of calls.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Share of calls.
+    pub share: f64,
+    /// Mean time that a call stands.
+    pub hold: Micros,
+    /// Wanted within.
+    pub aim: Micros,
+    /// Tried for so long.
+    pub deadline: Micros,
+    /// One try's patience.
+    pub gives_up: Micros,
+    /// Worth.
+    pub worth: f64,
+    /// Fraction of it when late.
+    pub late_worth: f64,
+}
+
+/// A publisher.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Publisher {
+    /// Its name.
+    pub name: String,
+    /// Share of calls.
+    pub share: f64,
+    /// Calls a second that count in full.
+    pub quota: f64,
+}
+
+/// A trouble and when it comes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Trouble {
+    /// When.
+    pub at: Micros,
+    /// For how long, where that means something.
+    pub span: Micros,
+    /// What.
+    pub what: What,
+}
+
+/// Kinds of trouble.
+#[derive(Debug, Clone, PartialEq)]
+#[allow(missing_docs)]
+pub enum What {
+    Drain { server: usize, by_list: bool, by_dpr: bool, back_after: Option<Micros> },
+    Die { server: usize, back_after: Option<Micros> },
+    Hang { server: usize },
+    Slow { server: usize, factor: f64 },
+    Pause { server: usize },
+    LoseAnswers { server: usize, share: f64 },
+    Cut { share: f64 },
+    LinkDown { server: usize },
+    LinkStalled { server: usize },
+    Burst { factor: f64 },
+    Hot { share: f64 },
+    Redials { times: u32, wait: Micros },
+    Reconnect { front: usize },
+    Stall { front: usize },
+    ListLag { lag: Micros },
+}
+
+/// Reads a script.
+///
+/// # Errors
+/// All that is wrong, each with its place.
+pub fn parse(name: &str, text: &str) -> Result<Day, ConfigError> {
+    let (document, problems) = parse_document(name, text)?;
+    let mut day = Day {
+        seconds: 60.0,
+        seed: 1,
+        fronts: 1,
+        watchdog: S,
+        policy: Policy::Baydrift,
+        list_lag: 2 * S,
+        calls_per_s: 50.0,
+        redials: 1,
+        redial_wait: S,
+        again: 0.0,
+        servers: Servers::default(),
+        classes: Vec::new(),
+        publishers: Vec::new(),
+        troubles: Vec::new(),
+    };
+    for node in document.nodes() {
+        let node = Node::new(node, &problems);
+        match node.node.name().value() {
+            "day" => read_day(&node, &mut day),
+            "servers" => read_servers(&node, &mut day.servers),
+            "calls" => read_calls(&node, &mut day),
+            "class" => day.classes.push(read_class(&node)),
+            "publisher" => day.publishers.push(Publisher {
+                name: node.name("the publisher's name"),
+                share: node.number("share", 0.0..=1e6).unwrap_or(1.0),
+                quota: node.number("quota", 0.0..=1e9).unwrap_or(1e9),
+            }),
+            _ => day.troubles.extend(read_trouble(&node)),
+        }
+        node.done();
+    }
+    if day.classes.is_empty() || day.publishers.is_empty() {
+        problems.add((0, 0).into(), "a day needs a class and a publisher", None);
+    }
+    let (servers, fronts) = (day.servers.rates.len(), day.fronts as usize);
+    for trouble in &day.troubles {
+        let (server, front) = trouble.what.names();
+        if server.is_some_and(|s| s >= servers) || front.is_some_and(|f| f >= fronts) {
+            let text = format!("a trouble at {} s names a server or front that is not there", trouble.at / S);
+            problems.add((0, 0).into(), text, Some("both count from 0"));
+        }
+    }
+    problems.finish(name)?;
+    day.troubles.sort_by_key(|trouble| trouble.at);
+    Ok(day)
+}
+
+impl What {
+    fn names(&self) -> (Option<usize>, Option<usize>) {
+        match self {
+            Self::Drain { server, .. }
+            | Self::Die { server, .. }
+            | Self::Hang { server }
+            | Self::Slow { server, .. }
+            | Self::Pause { server }
+            | Self::LoseAnswers { server, .. }
+            | Self::LinkDown { server }
+            | Self::LinkStalled { server } => (Some(*server), None),
+            Self::Reconnect { front } | Self::Stall { front } => (None, Some(*front)),
+            _ => (None, None),
+        }
+    }
+}
+
+impl Default for Servers {
+    fn default() -> Self {
+        Self {
+            rates: vec![50.0; 3],
+            release: 0.12,
+            refusal: 0.23,
+            most_wait: 2_500 * MS,
+            cold_from: 0.35,
+            ramp: 12 * S,
+            fall_multiple: 2.0,
+            fall_time: 1_500 * MS,
+            report_period: 300 * MS,
+            report_delay: 100 * MS,
+            report_noise: 0.1,
+            tells: vec!["wait".into()],
+            link_delay: 0,
+        }
+    }
+}
+
+fn read_day(node: &Node<'_>, day: &mut Day) {
+    day.seconds = node.number("seconds", 0.1..=86_400.0).unwrap_or(day.seconds);
+    day.seed = node.whole("seed", 0..=u64::MAX).unwrap_or(day.seed);
+    day.fronts = node.whole("fronts", 1..=64).unwrap_or(1) as u32;
+    day.watchdog = node.time("watchdog", 50 * MS..=HOUR).unwrap_or(day.watchdog);
+    day.list_lag = node.time("list-lag", 0..=HOUR).unwrap_or(day.list_lag);
+    match node.text("policy").as_deref() {
+        None | Some("baydrift") => {}
+        Some("round-robin") => day.policy = Policy::RoundRobin,
+        Some(_) => node.wrong_at("policy", "policy is none of baydrift, round-robin", None),
+    }
+}
+
+fn read_servers(node: &Node<'_>, servers: &mut Servers) {
+    let rate = node.number("rate", 0.1..=1e6).unwrap_or(50.0);
+    servers.rates = vec![rate; node.whole("count", 1..=256).unwrap_or(3) as usize];
+    servers.release = node.number("release", 0.0..=10.0).unwrap_or(servers.release);
+    servers.refusal = node.number("refusal", 0.0..=10.0).unwrap_or(servers.refusal);
+    servers.cold_from = node.number("cold-from", 0.01..=1.0).unwrap_or(servers.cold_from);
+    servers.fall_multiple = node.number("fall-multiple", 0.1..=100.0).unwrap_or(servers.fall_multiple);
+    servers.report_noise = node.number("report-noise", 0.0..=1.0).unwrap_or(servers.report_noise);
+    let times = [
+        ("most-wait", &mut servers.most_wait),
+        ("ramp", &mut servers.ramp),
+        ("fall-time", &mut servers.fall_time),
+        ("report-period", &mut servers.report_period),
+        ("report-delay", &mut servers.report_delay),
+        ("link-delay", &mut servers.link_delay),
+    ];
+    for (key, to) in times {
+        *to = node.time(key, 0..=HOUR).unwrap_or(*to);
+    }
+    if let Some(tells) = node.text("tells") {
+        servers.tells = tells.split_whitespace().map(str::to_owned).collect();
+        if let Some(other) =
+            servers.tells.iter().find(|t| !["wait", "busy", "rate", "queue"].contains(&t.as_str()))
+        {
+            node.wrong_at("tells", format!("{other} is none of wait, busy, rate, queue"), None);
+        }
+    }
+}
+
+fn read_calls(node: &Node<'_>, day: &mut Day) {
+    day.calls_per_s = node.number("per-second", 0.1..=1e6).unwrap_or(day.calls_per_s);
+    day.redials = node.whole("redials", 0..=100).unwrap_or(u64::from(day.redials)) as u32;
+    day.redial_wait = node.time("redial-wait", MS..=HOUR).unwrap_or(day.redial_wait);
+    day.again = node.number("again", 0.0..=1.0).unwrap_or(day.again);
+}
+
+fn read_class(node: &Node<'_>) -> Class {
+    let deadline = node.time("deadline", 100 * MS..=HOUR).unwrap_or(9 * S);
+    Class {
+        name: node.name("the class's name"),
+        share: node.number("share", 0.0..=1e6).unwrap_or(1.0),
+        hold: node.time("hold", MS..=HOUR).unwrap_or(5 * S),
+        aim: node.time("aim", MS..=HOUR).unwrap_or(2 * S),
+        gives_up: node.time("gives-up", 100 * MS..=HOUR).unwrap_or(3 * S),
+        worth: node.number("worth", 0.0..=1e6).unwrap_or(1.0),
+        late_worth: node.number("late-worth", 0.0..=1.0).unwrap_or(0.2),
+        deadline,
+    }
+}
+
+fn read_trouble(node: &Node<'_>) -> Option<Trouble> {
+    let server = || node.whole("server", 0..=255).unwrap_or(0) as usize;
+    let front = || node.whole("front", 0..=63).unwrap_or(0) as usize;
+    let back_after = || node.time("back-after", 0..=HOUR);
+    let share = || node.number("share", 0.0..=1.0).unwrap_or(1.0);
+    let factor = || node.number("factor", 0.0..=100.0).unwrap_or(2.0);
+    let what = match node.node.name().value() {
+        "drain" => {
+            let by = node.text("by").unwrap_or_else(|| "both".into());
+            if !["list", "dpr", "both"].contains(&by.as_str()) {
+                node.wrong_at("by", "by is none of list, dpr, both", None);
+            }
+            What::Drain {
+                server: server(),
+                by_list: by != "dpr",
+                by_dpr: by != "list",
+                back_after: back_after(),
+            }
+        }
+        "die" => What::Die { server: server(), back_after: back_after() },
+        "hang" => What::Hang { server: server() },
+        "slow" => What::Slow { server: server(), factor: factor() },
+        "pause" => What::Pause { server: server() },
+        "lose-answers" => What::LoseAnswers { server: server(), share: share() },
+        "cut" => What::Cut { share: share() },
+        "link-down" => What::LinkDown { server: server() },
+        "link-stalled" => What::LinkStalled { server: server() },
+        "burst" => What::Burst { factor: factor() },
+        "hot" => What::Hot { share: share() },
+        "redials" => What::Redials {
+            times: node.whole("times", 0..=100).unwrap_or(10) as u32,
+            wait: node.time("wait", MS..=HOUR).unwrap_or(100 * MS),
+        },
+        "reconnect" => What::Reconnect { front: front() },
+        "stall" => What::Stall { front: front() },
+        "list-lag" => What::ListLag { lag: node.time("lag", 0..=HOUR).unwrap_or(10 * S) },
+        other => {
+            node.wrong(format!("no trouble or setting is called {other}"), None);
+            return None;
+        }
+    };
+    let at = node.time("at", 0..=24 * HOUR);
+    if at.is_none() && !node.has("at") {
+        node.wrong("when? at is missing", Some("at=\"10s\""));
+    }
+    Some(Trouble { at: at.unwrap_or(0), span: node.time("for", 0..=HOUR).unwrap_or(3 * S), what })
+}
--- /dev/null
+++ b/crates/day/src/table.rs
@@ -0,0 +1,64 @@
+//! What a day came to, as a table.
+
+use std::fmt::Write as _;
+
+use baydrift_audit::{Service, Shares, Verdict};
+
+const RULES: [&str; 6] = [
+    "at most 5 attempts",
+    "1 one final answer in time, nothing after it",
+    "2 never two attempts out",
+    "3 nothing new 1 s after a drain was told",
+    "4 no cold server pushed over",
+    "5 no resend within 300 ms",
+];
+
+fn ms(us: Option<u64>) -> String {
+    us.map_or("none".into(), |us| format!("{:.0} ms", us as f64 / 1e3))
+}
+
+/// Rules, service by class and publisher, and latency percentiles.
+pub fn table(verdict: &Verdict, service: &Service) -> String {
+    let mut text = String::new();
+    for (rule, name) in RULES.iter().enumerate() {
+        let broken = verdict.of(rule as u8);
+        let word = if broken == 0 { "kept".to_owned() } else { format!("BROKEN {broken} times") };
+        let _ = writeln!(text, "  {name:<46} {word}");
+    }
+    let _ = writeln!(
+        text,
+        "  calls {}, answered {}, excused {}; set-ups {}; latest after a drain was told {}; shortest resend {}",
+        verdict.calls,
+        verdict.answered,
+        verdict.excused,
+        verdict.set_ups,
+        ms(verdict.latest_after_drain),
+        ms(verdict.shortest_guard)
+    );
+    let _ = writeln!(
+        text,
+        "  stands {}, refused {}, failed {}, cut {}",
+        service.stands, service.refused, service.failed, service.cut
+    );
+    let _ = writeln!(text, "\n  {:<24} {:>8} {:>9}", "service", "calls", "service");
+    let mut row = |name: &str, shares: &Shares| {
+        let _ = writeln!(text, "  {name:<24} {:>8} {:>9.3}", shares.calls, shares.service());
+    };
+    row("whole", &service.whole);
+    service.classes.iter().for_each(|(name, shares)| row(&format!("class {name}"), shares));
+    service.publishers.iter().for_each(|(name, shares)| row(&format!("publisher {name}"), shares));
+    let _ = writeln!(text, "  {:<24} {:>8} {:>9.3}", "worst 10 s", "", service.worst_window);
+    let l = &service.latency;
+    let _ = writeln!(
+        text,
+        "\n  from offer to 'stands': p50 {}, p90 {}, p99 {}, longest {}",
+        ms(Some(l.p50)),
+        ms(Some(l.p90)),
+        ms(Some(l.p99)),
+        ms(Some(l.max))
+    );
+    for breach in verdict.breaches.iter().take(20) {
+        let _ = writeln!(text, "  rule {} at {:.3} s: {}", breach.rule, breach.at as f64 / 1e6, breach.text);
+    }
+    text
+}
--- a/crates/desk/src/doors.rs
+++ b/crates/desk/src/doors.rs
@@ -6,6 +6,10 @@
 use baydrift_config::{Client, Config};
 use baydrift_diameter::{read_capabilities, result, Fault, Local, Message, Remote};
 
+/// Host and realm of the configured client that stands for every other: an operator's choice, for closed
+/// networks and demonstrations.
+const ANYONE: &str = "*";
+
 /// A connection that may go on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Opened {
@@ -55,9 +59,9 @@
     pub fn greet(&mut self, link: LinkId, cer: &Message, local: &Local) -> Result<Opened, Fault> {
         let remote = read_capabilities(cer, local)?;
         let unknown = |text: String| Fault::new(result::UNKNOWN_PEER, text);
-        let client = self.clients.get(&remote.host);
+        let client = self.clients.get(&remote.host).or_else(|| self.clients.get(ANYONE));
         let client = client.ok_or_else(|| unknown(format!("{} is not known here", remote.host)))?;
-        if client.realm != remote.realm {
+        if client.realm != remote.realm && client.realm != ANYONE {
             return Err(unknown(format!("{} is of another realm than {}", remote.host, remote.realm)));
         }
         let theirs = self.open.values().flatten().filter(|host| **host == remote.host).count();
--- a/crates/diameter/tests/peers.rs
+++ b/crates/diameter/tests/peers.rs
@@ -256,7 +256,8 @@
     let suspect = [E::ConnectionUp, E::Tick, E::Tick];
     let down = [E::ConnectionUp, E::ConnectionDown];
     let reopen = [E::ConnectionUp, E::ConnectionDown, E::ConnectionUp];
-    let cases: &[(&[E], &[E], W, &[A])] = &[
+    type Row<'a> = (&'a [E], &'a [E], W, &'a [A]);
+    let cases: &[Row<'_>] = &[
         (&[], &[E::Tick], W::Initial, &[A::AttemptOpen]),
         (&[], &okay, W::Okay, &[]),
         (&okay, &[E::Answer], W::Okay, &[]),
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,13 @@
+//! What stands around a front on loopback, written from public specifications, seeded, and recorded.
+
+mod caller;
+mod link;
+mod list;
+mod model;
+mod server;
+
+pub use caller::{Caller, CallerSpec, Flow, Offers};
+pub use link::{Fault, Link};
+pub use list::push;
+pub use model::{Processor, ProcessorSpec, Taken, Work};
+pub use server::{Command, Server, ServerSpec};
--- /dev/null
+++ b/crates/standin/src/link.rs
@@ -0,0 +1,127 @@
+//! A link with faults: a relay of bytes that delays, stalls, cuts at a chosen byte or drops.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+
+/// What a link does to what crosses it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Fault {
+    /// One way.
+    pub delay: Duration,
+    /// Nothing passes, and nothing is lost.
+    pub stalled: bool,
+    /// Connections are closed, and new ones too.
+    pub down: bool,
+    /// Each connection is cut after so many bytes from the initiator.
+    pub cut_after: Option<u64>,
+}
+
+/// A running link; it ends when this is dropped.
+pub struct Link {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    fault: watch::Sender<Fault>,
+}
+
+impl Link {
+    /// A link to an address.
+    ///
+    /// # Errors
+    /// Where the socket cannot be bound.
+    pub async fn start(to: SocketAddr, fault: Fault) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let (fault, faults) = watch::channel(fault);
+        tokio::spawn(async move {
+            let mut ended = faults.clone();
+            loop {
+                let stream = tokio::select! {
+                    accepted = listener.accept() => match accepted {
+                        Ok((stream, _)) => stream,
+                        Err(_) => continue,
+                    },
+                    gone = ended.changed() => match gone {
+                        Ok(()) => continue,
+                        Err(_) => return,
+                    },
+                };
+                tokio::spawn(carry(stream, to, faults.clone()));
+            }
+        });
+        Ok(Self { addr, fault })
+    }
+
+    /// Changes what it does from now on.
+    pub fn set(&self, fault: Fault) {
+        self.fault.send_replace(fault);
+    }
+}
+
+async fn carry(near: TcpStream, to: SocketAddr, faults: watch::Receiver<Fault>) {
+    if faults.borrow().down {
+        return;
+    }
+    let Ok(far) = TcpStream::connect(to).await else { return };
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let ((near_in, near_out), (far_in, far_out)) = (near.into_split(), far.into_split());
+    let budget = faults.borrow().cut_after;
+    let (cut, mut is_cut) = mpsc::channel::<()>(1);
+    let cut = Arc::new(cut);
+    let mut down = faults.clone();
+    let there = tokio::spawn(pump(near_in, far_out, faults.clone(), budget, cut.clone()));
+    let back = tokio::spawn(pump(far_in, near_out, faults, None, cut));
+    tokio::select! {
+        _ = is_cut.recv() => {}
+        _ = down.wait_for(|fault| fault.down) => {}
+    }
+    there.abort();
+    back.abort();
+}
+
+/// One direction: bytes leave no sooner than the delay after they came, in order.
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut faults: watch::Receiver<Fault>,
+    mut budget: Option<u64>,
+    cut: Arc<mpsc::Sender<()>>,
+) {
+    // Bounded: a stalled link fills up and then holds its sender.
+    let (hold, mut held) = mpsc::channel::<(tokio::time::Instant, Vec<u8>)>(64);
+    let mut clock = faults.clone();
+    let reader = async move {
+        let mut buffer = vec![0u8; 16 * 1024];
+        while let Ok(size @ 1..) = from.read(&mut buffer).await {
+            let due = tokio::time::Instant::now() + clock.borrow_and_update().delay;
+            if hold.send((due, buffer[..size].to_vec())).await.is_err() {
+                break;
+            }
+        }
+    };
+    let writer = async {
+        while let Some((due, bytes)) = held.recv().await {
+            tokio::time::sleep_until(due).await;
+            if faults.wait_for(|fault| !fault.stalled).await.is_err() {
+                break;
+            }
+            let size = budget.map_or(bytes.len(), |left| bytes.len().min(left as usize));
+            if to.write_all(&bytes[..size]).await.is_err() {
+                break;
+            }
+            budget = budget.map(|left| left - size as u64);
+            if budget == Some(0) {
+                break;
+            }
+        }
+    };
+    tokio::join!(reader, async {
+        writer.await;
+        let _ = cut.send(()).await;
+    });
+}
