--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -47,6 +47,8 @@
     SetUp { server: u16, front: u32, call: String, attempt: String, redirected: bool },
     /// A server answers a set-up.
     Reply { server: u16, attempt: String, code: u32, lost: bool },
+    /// A server cuts a call, or what it takes for one.
+    Abort { server: u16, attempt: String },
     /// A server reads a release.
     Release { server: u16, attempt: String },
     /// A server reads a watchdog request that it will not answer.
--- a/crates/audit/src/rules.rs
+++ b/crates/audit/src/rules.rs
@@ -167,7 +167,7 @@
                     }
                 }
             }
-            Moment::Release { attempt, .. } => self.end(at, attempt, true),
+            Moment::Release { attempt, .. } | Moment::Abort { attempt, .. } => self.end(at, attempt, true),
             Moment::Mute { server, front } => {
                 self.mute.entry((*server, *front)).or_insert(at);
             }
--- a/crates/audit/src/service.rs
+++ b/crates/audit/src/service.rs
@@ -92,6 +92,7 @@
 struct Try {
     first: String,
     at: u64,
+    answered: bool,
 }
 
 #[derive(Default)]
@@ -122,10 +123,13 @@
                     at: line.at,
                     ..Outcome::default()
                 });
-                tries.insert(call, Try { first, at: line.at });
+                tries.insert(call, Try { first, at: line.at, answered: false });
             }
             Moment::Answer { call, code, .. } => {
-                let Some(tried) = tries.get(call.as_str()) else { continue };
+                // The same answer again, to a repeat, counts once.
+                let tried = tries.get_mut(call.as_str()).filter(|tried| !tried.answered);
+                let Some(tried) = tried else { continue };
+                tried.answered = true;
                 match code {
                     2001 => seen.stands += 1,
                     3004 => seen.refused += 1,
--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -16,8 +16,8 @@
 use crate::pool::Pool;
 use crate::timers::{Timer, Timers};
 use crate::types::{
-    AttemptEnd, AttemptId, Final, Input, LinkId, LinkState, Offer, Output, Refusal, ReleaseResult, Request,
-    Session,
+    AttemptEnd, AttemptId, Final, Input, LinkId, LinkState, Offer, Output, Process, Refusal, ReleaseResult,
+    Request, Session,
 };
 
 /// The engine answers a call itself so long before its caller gives up, should the module not have.
@@ -350,7 +350,7 @@
             return self.not_sent(id, index, server, Outcome::Moot);
         }
         match self.pool.link_state(server) {
-            LinkState::Up { .. } => {}
+            LinkState::Up(_) => {}
             LinkState::Suspect => return self.not_sent(id, index, server, Outcome::Moot),
             LinkState::Down => return self.not_sent(id, index, server, Outcome::ConnectFailed),
         }
@@ -660,7 +660,7 @@
         let Some(attempt) = self.attempts.get_mut(&id) else { return };
         attempt.stage = Stage::Releasing { owed };
         let Attempt { server, class, .. } = *attempt;
-        if matches!(self.pool.link_state(server), LinkState::Up { .. }) {
+        if matches!(self.pool.link_state(server), LinkState::Up(_)) {
             self.timers.set(self.now.saturating_add(self.limits.release_timeout), Timer::Release(id));
             self.counts.releases += 1;
             out.push(Output::Release { attempt: id, server, class });
@@ -771,13 +771,14 @@
 
     fn server_link(&mut self, server: ServerId, state: LinkState, out: &mut Vec<Output<P>>) {
         let changed = self.pool.link(self.now, server, state);
+        // Before what is out ends: it shall not go where it comes from.
+        self.tell_list(changed.into_iter().collect());
         match state {
-            LinkState::Up { restarted } => {
-                if restarted {
+            LinkState::Up(process) => {
+                if process == Process::New {
                     self.guard.forget(server);
                     self.lose_server(server, out);
                 }
-                self.tell_list(changed.into_iter().collect());
                 self.release_orphans(out);
             }
             LinkState::Suspect => self.fail_over(server, Outcome::Timeout, out),
@@ -825,7 +826,7 @@
         }
         let mut left = false;
         for server in self.orphans.servers() {
-            if !matches!(self.pool.link_state(server), LinkState::Up { .. }) {
+            if !matches!(self.pool.link_state(server), LinkState::Up(_)) {
                 continue;
             }
             let batch = self.orphans.take(server, ORPHAN_BATCH.0);
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -18,8 +18,8 @@
 //! | no answer in time | `Ended(Timeout)`, then a release | |
 //! | server's link suspect, attempt out | `Ended(Timeout)`, then a release | |
 //! | server's link down, attempt out | `Ended(Reset)`, a release once it is up | |
-//! | set-up asked for, link suspect | `Ended(Moot)` | |
-//! | set-up asked for, link down | `Ended(ConnectFailed)` | |
+//! | server's link suspect or down | `List`: draining, until it is up again | |
+//! | set-up asked for all the same | `Ended(Moot)` or `Ended(ConnectFailed)` | |
 //! | attempt called off | `Ended(Cancelled)`, then a release | |
 //! | caller releases a standing call | at the server's word or its time-out: `Ended(Ok)` | in it |
 //! | caller gives up before the answer | `Abandoned`, `Ended(Cancelled)` if one is out | |
@@ -52,6 +52,6 @@
 
 pub use engine::{Counts, Engine, EngineError, Limits, Policy};
 pub use types::{
-    AttemptEnd, AttemptId, Final, Input, LinkId, LinkState, Offer, Output, Refusal, ReleaseResult, Request,
-    Session,
+    AttemptEnd, AttemptId, Final, Input, LinkId, LinkState, Offer, Output, Process, Refusal, ReleaseResult,
+    Request, Session,
 };
--- a/crates/call/src/pool.rs
+++ b/crates/call/src/pool.rs
@@ -4,12 +4,17 @@
 //! first; it ends when the list shows the server ready *and* the server has spoken to us anew. A start is
 //! told by the list (late) or seen on the link (a changed origin state): both tell of one start when they
 //! are nearer than a ramp, so that a server is not ramped twice.
+//!
+//! A server whose link is suspect or down is told to the module as one that drains, since nothing new can go
+//! there. Left to find out by failed connects, the module takes whatever answers next for a cold process,
+//! as it must where it knows no better; here the link tells whether the process is the same (a lost
+//! connection, a hang) or another.
 
 use std::collections::BTreeMap;
 
 use baydrift::interface::{Entry, ListKind, Micros, ServerId, ServerState};
 
-use crate::types::LinkState;
+use crate::types::{LinkState, Process};
 
 /// What is known of one server.
 #[derive(Debug, Clone, PartialEq)]
@@ -23,13 +28,39 @@
 }
 
 impl Known {
-    fn entry(&self) -> Entry {
-        let state = match self.listed.state {
+    fn new(now: Micros, entry: &Entry) -> Self {
+        Self {
+            listed: entry.clone(),
+            left_itself: false,
+            left_at: (entry.state != ServerState::Ready).then_some(now),
+            started_at: entry.started_at,
+        }
+    }
+
+    /// Its state by all who tell of it.
+    fn state(&self) -> ServerState {
+        match self.listed.state {
             ServerState::Ready if self.left_itself => ServerState::Draining,
             state => state,
+        }
+    }
+
+    /// What the module is told.
+    fn entry(&self, link: LinkState) -> Entry {
+        let state = match (self.state(), link) {
+            (ServerState::Ready, LinkState::Suspect | LinkState::Down) => ServerState::Draining,
+            (state, _) => state,
         };
         Entry { state, started_at: self.started_at, ..self.listed.clone() }
     }
+
+    fn settle(&mut self, now: Micros) {
+        if self.state() == ServerState::Ready {
+            self.left_at = None;
+        } else {
+            self.left_at.get_or_insert(now);
+        }
+    }
 }
 
 /// The pool; see the module's page.
@@ -56,70 +87,71 @@
             return (changed, over);
         }
         if kind == ListKind::Full {
-            for (id, known) in &mut self.servers {
-                if known.listed.state != ServerState::Gone && entries.iter().all(|e| e.server != *id) {
+            let missing = |id: &ServerId| entries.iter().all(|entry| entry.server != *id);
+            let gone: Vec<_> = self.servers.keys().copied().filter(missing).collect();
+            for id in gone {
+                changed.extend(self.change(id, |known| {
                     known.listed.state = ServerState::Gone;
-                    known.left_at.get_or_insert(now);
-                    changed.push(known.entry());
-                }
+                    known.settle(now);
+                }));
             }
         }
+        let ramp = self.ramp;
         for entry in entries {
             if !self.servers.contains_key(&entry.server) {
                 if self.servers.len() >= self.most && !self.forget_one() {
                     over += 1;
                     continue;
                 }
-                let known = Known {
-                    listed: entry.clone(),
-                    left_itself: false,
-                    left_at: (entry.state != ServerState::Ready).then_some(now),
-                    started_at: entry.started_at,
-                };
-                changed.push(known.entry());
+                let known = Known::new(now, entry);
+                changed.push(known.entry(self.link_state(entry.server)));
                 self.servers.insert(entry.server, known);
                 continue;
             }
-            let Some(known) = self.servers.get_mut(&entry.server) else { continue };
-            let before = known.entry();
-            known.listed = entry.clone();
-            if let Some(at) = entry.started_at {
-                let one_start = known.started_at.is_some_and(|old| old.abs_diff(at) < self.ramp);
-                if !one_start {
+            changed.extend(self.change(entry.server, |known| {
+                known.listed = entry.clone();
+                let one_start = |at: Micros| known.started_at.is_some_and(|old| old.abs_diff(at) < ramp);
+                if let Some(at) = entry.started_at.filter(|at| !one_start(*at)) {
                     known.started_at = Some(at);
                 }
-            }
-            Self::settle(now, known);
-            if known.entry() != before {
-                changed.push(known.entry());
-            }
+                known.settle(now);
+            }));
         }
         (changed, over)
     }
 
     /// A server said that it drains. The changed entry, if that is news.
     pub fn drains(&mut self, now: Micros, server: ServerId) -> Option<Entry> {
-        let known = self.servers.get_mut(&server)?;
-        let before = known.entry();
-        known.left_itself = true;
-        Self::settle(now, known);
-        Some(known.entry()).filter(|entry| *entry != before)
+        self.change(server, |known| {
+            known.left_itself = true;
+            known.settle(now);
+        })
     }
 
-    /// A server's link changed. The changed entry, if it tells of more than the link.
+    /// A server's link changed. The changed entry, if that is news.
     pub fn link(&mut self, now: Micros, server: ServerId, state: LinkState) -> Option<Entry> {
-        self.links.insert(server, state);
+        let before = self.servers.get(&server).map(|known| known.entry(self.link_state(server)));
+        let was_down = self.links.insert(server, state) == Some(LinkState::Down);
         let known = self.servers.get_mut(&server)?;
-        let before = known.entry();
-        if let LinkState::Up { restarted } = state {
+        if let LinkState::Up(process) = state {
             known.left_itself = false;
             let told = known.started_at.is_some_and(|at| now.saturating_sub(at) < self.ramp);
-            if restarted && !told {
+            let cold = process == Process::New || process == Process::Unknown && was_down;
+            if cold && !told {
                 known.started_at = Some(now);
             }
+            known.settle(now);
         }
-        Self::settle(now, known);
-        Some(known.entry()).filter(|entry| *entry != before)
+        Some(known.entry(state)).filter(|entry| Some(entry) != before.as_ref())
+    }
+
+    /// Changes what is known of a server; the entry, if the module is to hear of it.
+    fn change(&mut self, server: ServerId, how: impl FnOnce(&mut Known)) -> Option<Entry> {
+        let link = self.link_state(server);
+        let known = self.servers.get_mut(&server)?;
+        let before = known.entry(link);
+        how(known);
+        Some(known.entry(link)).filter(|entry| *entry != before)
     }
 
     /// The link's state; down while nothing was heard of it.
@@ -144,14 +176,6 @@
         started.is_some_and(|at| now.saturating_sub(at) < self.ramp)
     }
 
-    fn settle(now: Micros, known: &mut Known) {
-        if known.entry().state == ServerState::Ready {
-            known.left_at = None;
-        } else {
-            known.left_at.get_or_insert(now);
-        }
-    }
-
     /// Makes room: a server that is gone is forgotten.
     fn forget_one(&mut self) -> bool {
         let gone = self.servers.iter().find(|(_, known)| known.listed.state == ServerState::Gone);
--- a/crates/call/src/types.rs
+++ b/crates/call/src/types.rs
@@ -66,14 +66,22 @@
     pub report: Report,
 }
 
+/// Whether a server that came up is the process that it was (RFC 6733, section 8.16).
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Process {
+    /// It tells the same origin state as before, or this is the first time.
+    Same,
+    /// It tells another: it forgot all calls, and is cold.
+    New,
+    /// It tells none: its calls may stand, but it may be cold.
+    Unknown,
+}
+
 /// A server's link as the watchdog and the transport see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkState {
-    /// Usable. `restarted` when the server's process is another than before.
-    Up {
-        /// It forgot all calls (its origin state has changed).
-        restarted: bool,
-    },
+    /// Usable.
+    Up(Process),
     /// A watchdog is unanswered: nothing new is sent, what is out goes elsewhere (RFC 3539, section 3.4.1).
     Suspect,
     /// No connection.
--- a/crates/call/tests/calls.rs
+++ b/crates/call/tests/calls.rs
@@ -4,7 +4,9 @@
 
 use baydrift::interface::{ListKind, Note, Outcome, Report, ServerState};
 use baydrift_call::guard::Breach;
-use baydrift_call::{AttemptEnd, Final, Input, Limits, LinkId, LinkState, Output, Refusal, ReleaseResult};
+use baydrift_call::{
+    AttemptEnd, Final, Input, Limits, LinkId, LinkState, Output, Process, Refusal, ReleaseResult,
+};
 use common::*;
 
 #[test]
@@ -112,7 +114,7 @@
     w.stands(second);
     // Nothing new goes to the suspect; once it is back, the orphan is released there.
     assert!(set_up(&w.offer(3)).is_none_or(|(_, to)| to != server));
-    let out = w.link(server, LinkState::Up { restarted: false });
+    let out = w.link(server, LinkState::Up(Process::Same));
     assert_eq!(releases(&out), [out_there]);
     assert!(!releases(&out).contains(&standing));
     assert_eq!(w.engine.counts().cut, 0);
@@ -124,7 +126,7 @@
     w.standing(1);
     w.link(0, LinkState::Down);
     assert_eq!(w.engine.calls_held(), 1);
-    let out = w.link(0, LinkState::Up { restarted: true });
+    let out = w.link(0, LinkState::Up(Process::New));
     assert!(out.iter().any(|o| matches!(o, Output::Cut { link: LinkId(1), .. })));
     assert_eq!((w.engine.calls_held(), releases(&out).len()), (0, 0));
 }
@@ -148,7 +150,7 @@
         w.input(Input::List(ListKind::Delta, vec![entry(0, ServerState::Ready)]));
         let back = set_up(&w.offer(60)).is_some_and(|(_, server)| server == 0);
         assert_eq!(back, order == 0);
-        w.link(0, LinkState::Up { restarted: false });
+        w.link(0, LinkState::Up(Process::Same));
         assert!(set_up(&w.offer(61)).is_some_and(|(_, server)| server == 0));
     }
 }
@@ -211,7 +213,7 @@
     w.input(Input::List(ListKind::Delta, vec![entry(1, ServerState::Draining)]));
     w.link(0, LinkState::Down);
     let waiting = w.engine.orphans();
-    let at_once = releases(&w.link(0, LinkState::Up { restarted: false })).len();
+    let at_once = releases(&w.link(0, LinkState::Up(Process::Same))).len();
     assert!(waiting > 16 && at_once == 16, "{waiting} {at_once}");
     let later = releases(&w.pass(500 * MS)).len();
     assert_eq!(at_once + later, waiting);
--- a/crates/call/tests/common/mod.rs
+++ b/crates/call/tests/common/mod.rs
@@ -8,7 +8,7 @@
     Class, Entry, ListKind, Micros, Repeat, Report, ReportPath, ServerState, Settings,
 };
 use baydrift_call::{
-    AttemptId, Engine, Final, Input, Limits, LinkId, LinkState, Offer, Output, Request, Session,
+    AttemptId, Engine, Final, Input, Limits, LinkId, LinkState, Offer, Output, Process, Request, Session,
 };
 
 pub const MS: Micros = 1_000;
@@ -71,7 +71,7 @@
         let entries = vec![entry(0, ServerState::Ready), entry(1, ServerState::Ready)];
         world.input(Input::List(ListKind::Full, entries));
         for server in [0, 1] {
-            world.link(server, LinkState::Up { restarted: false });
+            world.link(server, LinkState::Up(Process::Same));
         }
         world.client_up(1, false);
         world
--- a/crates/call/tests/properties.rs
+++ b/crates/call/tests/properties.rs
@@ -6,7 +6,7 @@
 
 use baydrift::interface::{ListKind, Micros, Note, Outcome, Report, ServerState};
 use baydrift_call::guard::{Before, Breach, Guard};
-use baydrift_call::{AttemptEnd, AttemptId, Input, Limits, LinkId, LinkState, Output, Session};
+use baydrift_call::{AttemptEnd, AttemptId, Input, Limits, LinkId, LinkState, Output, Process, Session};
 use common::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -174,10 +174,11 @@
                     let state = match to {
                         0 => LinkState::Down,
                         1 => LinkState::Suspect,
-                        to => LinkState::Up { restarted: to == 2 },
+                        2 => LinkState::Up(Process::New),
+                        _ => LinkState::Up(Process::Same),
                     };
                     // Whatever was out there is out no more, with or without a release.
-                    if !matches!(state, LinkState::Up { restarted: false }) {
+                    if !matches!(state, LinkState::Up(Process::Same)) {
                         let there = |attempt: &&AttemptId| ledger.at.get(attempt) == Some(&server);
                         let out: Vec<_> = ledger.out.values().filter(there).copied().collect();
                         for attempt in out {
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -469,7 +469,10 @@
             }
             What::Cut { share } => self.servers.iter().for_each(|s| s.command(Command::Cut(*share))),
             What::LinkDown { server } => self.link(*server, Fault { down: true, ..Fault::default() }),
-            What::LinkStalled { server } => self.link(*server, Fault { stalled: true, ..Fault::default() }),
+            // Only the way back: what the front sent is then timed at the server as it was sent.
+            What::LinkStalled { server } => {
+                self.link(*server, Fault { stalled_back: true, ..Fault::default() })
+            }
             What::Burst { factor } => self.offers(|offers| offers.factor = *factor),
             What::Hot { share } => self.offers(|offers| offers.hot = *share),
             What::Redials { times, wait } => {
--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -5,6 +5,7 @@
 
 use baydrift::interface::{ListKind, Micros, ServerId};
 use baydrift_call::guard::Breach;
+use baydrift_call::Process;
 use baydrift_call::{
     AttemptId, Counts, Engine, EngineError, Final, Input, LinkId, LinkState, Offer, Output, Policy,
     ReleaseResult, Request, Session,
@@ -253,8 +254,12 @@
             DeskInput::ClientRequest { link, message } => self.client_request(now, link, message, out),
             DeskInput::ServerUp { server, state_id } => {
                 let host = self.servers.get(&server).map(|(host, _)| host.clone()).unwrap_or_default();
-                let restarted = self.restarted(&host, state_id);
-                self.link(now, server, LinkState::Up { restarted }, out);
+                let process = match state_id {
+                    None => Process::Unknown,
+                    Some(_) if self.restarted(&host, state_id) => Process::New,
+                    Some(_) => Process::Same,
+                };
+                self.link(now, server, LinkState::Up(process), out);
             }
             DeskInput::ServerSuspect(server) => self.link(now, server, LinkState::Suspect, out),
             DeskInput::ServerDown(server) => self.link(now, server, LinkState::Down, out),
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -14,8 +14,10 @@
 pub struct Fault {
     /// One way.
     pub delay: Duration,
-    /// Nothing passes, and nothing is lost.
+    /// Nothing passes from the initiator, and nothing is lost.
     pub stalled: bool,
+    /// Nothing comes back to the initiator, and nothing is lost.
+    pub stalled_back: bool,
     /// Connections are closed, and new ones too.
     pub down: bool,
     /// Each connection is cut after so many bytes from the initiator.
@@ -74,8 +76,9 @@
     let (cut, mut is_cut) = mpsc::channel::<()>(1);
     let cut = Arc::new(cut);
     let mut down = faults.clone();
-    let there = tokio::spawn(pump(near_in, far_out, faults.clone(), budget, cut.clone()));
-    let back = tokio::spawn(pump(far_in, near_out, faults, None, cut));
+    let there =
+        tokio::spawn(pump(near_in, far_out, faults.clone(), |fault| fault.stalled, budget, cut.clone()));
+    let back = tokio::spawn(pump(far_in, near_out, faults, |fault| fault.stalled_back, None, cut));
     tokio::select! {
         _ = is_cut.recv() => {}
         _ = down.wait_for(|fault| fault.down) => {}
@@ -89,6 +92,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut faults: watch::Receiver<Fault>,
+    stalled: fn(&Fault) -> bool,
     mut budget: Option<u64>,
     cut: Arc<mpsc::Sender<()>>,
 ) {
@@ -107,7 +111,7 @@
     let writer = async {
         while let Some((due, bytes)) = held.recv().await {
             tokio::time::sleep_until(due).await;
-            if faults.wait_for(|fault| !fault.stalled).await.is_err() {
+            if faults.wait_for(|fault| !stalled(fault)).await.is_err() {
                 break;
             }
             let size = budget.map_or(bytes.len(), |left| bytes.len().min(left as usize));
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -310,6 +310,8 @@
                     let ends =
                         Ends { host: &self.spec.host, realm: &self.spec.realm, to_realm: "", to_host: None };
                     if let Some(conn) = conn {
+                        let server = self.spec.number;
+                        self.recorder.put(Moment::Abort { server, attempt: attempt.clone() });
                         let _ = conn.to.send(credit::abort(ends, &attempt));
                     }
                 }
