--- a/crates/cli/benches/cost.rs
+++ b/crates/cli/benches/cost.rs
@@ -275,21 +275,24 @@
     throughput(front.addr, 16, Duration::from_millis(500), 0).await;
     throughput(relay.addr, 16, Duration::from_millis(500), 0).await;
 
-    let (mut through, mut plain, mut ratio, mut per_call) = (vec![], vec![], vec![], vec![]);
-    for round in 1..=ROUNDS {
-        let span = Duration::from_secs(2);
-        let before = used(&front).0;
-        let by_front = throughput(front.addr, 32, span, round).await;
-        per_call.push((used(&front).0 - before) * 1e6 / (by_front * span.as_secs_f64()));
-        let by_relay = throughput(relay.addr, 32, span, round).await;
-        through.push(by_front);
-        plain.push(by_relay);
-        ratio.push(by_front / by_relay);
+    for outstanding in [1, 8, 32] {
+        let (mut through, mut plain, mut ratio, mut per_call) = (vec![], vec![], vec![], vec![]);
+        for round in 1..=ROUNDS {
+            let (span, round) = (Duration::from_millis(1_500), outstanding * 100 + round);
+            let before = used(&front).0;
+            let by_front = throughput(front.addr, outstanding, span, round).await;
+            per_call.push((used(&front).0 - before) * 1e6 / (by_front * span.as_secs_f64()));
+            let by_relay = throughput(relay.addr, outstanding, span, round).await;
+            through.push(by_front);
+            plain.push(by_relay);
+            ratio.push(by_front / by_relay);
+        }
+        println!("{CONNECTIONS} connections, {outstanding} outstanding on each:");
+        println!("  calls/s through the front: {}", spread(through));
+        println!("  calls/s through a plain relay: {}", spread(plain));
+        println!("  ratio: {}", spread(ratio));
+        println!("  CPU of the front's process a call, us: {}", spread(per_call));
     }
-    println!("calls/s through the front: {}", spread(through));
-    println!("calls/s through a plain relay: {}", spread(plain));
-    println!("ratio: {}", spread(ratio));
-    println!("CPU of the front's process a call, us: {}", spread(per_call));
     if short {
         return;
     }
@@ -388,9 +391,61 @@
         check * 2.0,
         encode * 2.0
     );
-    println!("engine and module a call, ns: {:.0}", engine(&mut || None));
+    let (desk, whole) = (desk(), engine(&mut || None));
     let trivial = engine(&mut || Some(Box::new(Always)));
-    println!("engine alone (a policy that always sends to one server), ns: {trivial:.0}");
+    println!(
+        "desk, engine and module a call, ns: {desk:.0}; engine and module {whole:.0}; engine {trivial:.0}"
+    );
+}
+
+/// ns a call through the desk: a request and a release of a client, an answer to each of a server.
+fn desk() -> f64 {
+    use baydrift_call::LinkId;
+    use baydrift_desk::{Desk, DeskInput, DeskOutput, Opened};
+    use baydrift_diameter::Remote;
+    let text = "front \"f\" realm=\"r\" { listen \"127.0.0.1:0\"; serves \"test\"; }\nclass \"g\" { context \"grid@test\"; \
+                gives-up \"3s\"; }\nclient \"c.test\" realm=\"test\"\nserver \"s\" realm=\"r\" number=0 addr=\"127.0.0.1:1\"\n";
+    let config = baydrift_config::parse("bench", text).expect("good");
+    let mut times = Vec::new();
+    for _ in 0..ROUNDS {
+        let mut desk = Desk::new(&config, 1, 1).expect("good settings");
+        let mut out = Vec::new();
+        let remote = Remote { host: "c.test".into(), realm: "test".into(), state_id: None };
+        desk.hear(0, DeskInput::ServerUp { server: 0, state_id: Some(1) }, &mut out);
+        desk.hear(
+            0,
+            DeskInput::ClientUp { link: LinkId(1), opened: Opened { remote, relay: false } },
+            &mut out,
+        );
+        let calls = 20_000u64;
+        let requests: Vec<_> = (0..calls)
+            .map(|n| {
+                [RequestType::Initial, RequestType::Termination].map(|kind| ccr(&format!("c;{n}"), kind))
+            })
+            .collect();
+        let mut now = 10_000u64;
+        let begun = Instant::now();
+        for pair in requests {
+            for message in pair {
+                now += 700;
+                out.clear();
+                desk.hear(now, DeskInput::ClientRequest { link: LinkId(1), message }, &mut out);
+                let sent = out.iter().find_map(|o| match o {
+                    DeskOutput::ToServer { attempt, kind, message, .. } => Some((*attempt, *kind, message)),
+                    _ => None,
+                });
+                if let Some((attempt, kind, message)) = sent {
+                    // The server's own work is in here too: two answers made.
+                    let message = credit::answer(message, result::SUCCESS, "s", "r");
+                    desk.hear(now, DeskInput::ServerAnswer { server: 0, attempt, kind, message }, &mut out);
+                }
+                desk.hear(now, DeskInput::Tick, &mut out);
+            }
+        }
+        times.push(begun.elapsed().as_nanos() as f64 / calls as f64);
+    }
+    times.sort_by(f64::total_cmp);
+    times[ROUNDS / 2]
 }
 
 #[derive(Debug)]
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -16,11 +16,11 @@
     /// A day file of the operators' bench instead of a script.
     #[arg(long, conflicts_with = "script")]
     from_bench: Option<PathBuf>,
-    /// Calls a second that a bench's day is scaled to.
-    #[arg(long, default_value_t = 100.0)]
-    calls_per_second: f64,
+    /// Calls a second that a bench's day is scaled to, servers with them; else as in the file.
+    #[arg(long)]
+    calls_per_second: Option<f64>,
     /// Most fronts of a bench's day.
-    #[arg(long, default_value_t = 4)]
+    #[arg(long, default_value_t = 8)]
     fronts: u32,
     /// Another length than the script's.
     #[arg(long)]
@@ -82,7 +82,7 @@
     }
     let policy = if day.policy == Policy::RoundRobin { "round robin" } else { "baydrift" };
     println!(
-        "{policy}: {} fronts, {} servers, {:.0} calls/s for {:.0} s, seed {}",
+        "{policy}: {} fronts, {} servers, {:.1} calls/s for {:.0} s, seed {}",
         day.fronts,
         day.servers.rates.len(),
         day.calls_per_s,
--- a/crates/day/src/bench.rs
+++ b/crates/day/src/bench.rs
@@ -96,8 +96,7 @@
     hold: Vec<f64>,
     queue: f64,
     reject: f64,
-    #[serde(default)]
-    release: f64,
+    peer_work: f64,
 }
 
 #[derive(Deserialize)]
@@ -110,12 +109,16 @@
     on: Vec<usize>,
 }
 
-/// A day of one bench file, with its calls and servers scaled down together to so many calls a second and its
-/// fronts to at most so many. What cannot be said on sockets is named in the list beside it.
+/// A day of one bench file, with its calls and servers scaled together to so many calls a second (`None`: as in
+/// the file) and its fronts to at most so many. What cannot be said on sockets is named in the list beside it.
 ///
 /// # Errors
 /// Where the file is none, or has nothing to play.
-pub fn from_bench(text: &str, calls_per_s: f64, most_fronts: u32) -> Result<(Day, Vec<String>), BenchError> {
+pub fn from_bench(
+    text: &str,
+    calls_per_s: Option<f64>,
+    most_fronts: u32,
+) -> Result<(Day, Vec<String>), BenchError> {
     let file: File = serde_json::from_str(text)?;
     let tier = file.tiers.first().ok_or(BenchError::Empty("tier"))?;
     let kind = tier.kinds.first().ok_or(BenchError::Empty("server kind"))?;
@@ -125,13 +128,14 @@
     }
     let mut skipped = Vec::new();
     // The bench counts load against its servers' whole capacity, releases and all.
-    let offered = calls_per_s;
-    let capacity = offered / file.traffic.load.max(0.01);
+    let load = file.traffic.load.max(0.01);
+    let offered = calls_per_s.unwrap_or(file.fam.capacity * load);
+    let capacity = offered / load;
     let fronts = (file.balancers.len() as u32).clamp(1, most_fronts.max(1));
     if fronts < file.balancers.len() as u32 {
         skipped.push(format!("{} fronts of {} are played", fronts, file.balancers.len()));
     }
-    let release = 0.12;
+    let release = file.fam.peer_work;
     let classes = file.classes.iter().enumerate().map(|(index, class)| Class {
         name: class.name.clone(),
         share: class.share,
@@ -180,7 +184,6 @@
             .flat_map(|t| trouble(t, &file, fronts as usize, &mut skipped))
             .collect(),
     };
-    let _ = file.fam.release;
     Ok((day, skipped))
 }
 
@@ -209,7 +212,7 @@
         }
         "slow" | "ageing" => each(&|server| What::Slow { server, factor: from.size.max(1.0) }),
         "pauses" => each(&|server| What::Pause { server }),
-        "peer_down" => each(&|server| What::LinkDown { server }),
+        "peer_down" => one(What::MessagesLost { share: 1.0 }),
         "answer_lost" => each(&|server| What::LoseAnswers { server, share: from.size.clamp(0.0, 1.0) }),
         "hot_key" => one(What::Hot { share: from.size.clamp(0.0, 1.0) }),
         "reconnect" => one(What::Cut { share: from.size.clamp(0.0, 1.0) }),
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -11,7 +11,8 @@
 use baydrift_config::{Config, ConfigError};
 use baydrift_front::{Addrs, Bound, FrontError, Snapshot};
 use baydrift_standin::{
-    push, Caller, CallerSpec, Command, Fault, Flow, Link, Offers, ProcessorSpec, Server, ServerSpec,
+    push, Caller, CallerSpec, Command, Datagrams, Fault, Flow, Link, Offers, ProcessorSpec, Server,
+    ServerSpec,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -154,6 +155,8 @@
     links: BTreeMap<usize, Link>,
     fronts: Vec<FrontThread>,
     offers: Vec<watch::Sender<Offers>>,
+    relays: Vec<Datagrams>,
+    usual: Offers,
     pool: Pool,
     lists: mpsc::UnboundedSender<(Micros, Pool)>,
     lag: Micros,
@@ -207,10 +210,20 @@
         fronts.push(front);
         starts.push((start, policy));
     }
+    // Each pair of fronts speaks over a relay that can lose what they say.
     let fleet: Vec<_> =
         fronts.iter().enumerate().filter_map(|(i, f)| f.addrs.fleet.map(|addr| (i as u32, addr))).collect();
-    for (ordinal, (start, policy)) in starts.into_iter().enumerate() {
-        let others = fleet.iter().filter(|(other, _)| *other != ordinal as u32).copied().collect();
+    let (mut relays, mut others) = (Vec::new(), vec![Vec::new(); fronts.len()]);
+    for (place, (a, a_addr)) in fleet.iter().enumerate() {
+        for (b, b_addr) in &fleet[place + 1..] {
+            let relay = Datagrams::start(day.seed ^ u64::from(a << 8 | b)).await?;
+            relay.between(*a_addr, *b_addr);
+            others[*a as usize].push((*b, relay.addr));
+            others[*b as usize].push((*a, relay.addr));
+            relays.push(relay);
+        }
+    }
+    for ((start, policy), others) in starts.into_iter().zip(others) {
         let _ = start.send((others, policy));
     }
     let (lists, pushed) = mpsc::unbounded_channel();
@@ -219,14 +232,11 @@
 
     // Server links come up before the first call does.
     tokio::time::sleep(Duration::from_millis(200)).await;
+    let usual =
+        Offers { redials: day.redials, redial_wait: day.redial_wait, again: day.again, ..Offers::default() };
     let (mut callers, mut offers) = (Vec::new(), Vec::new());
     for (ordinal, front) in fronts.iter().enumerate() {
-        let (tell, told) = watch::channel(Offers {
-            redials: day.redials,
-            redial_wait: day.redial_wait,
-            again: day.again,
-            ..Offers::default()
-        });
+        let (tell, told) = watch::channel(usual.clone());
         let spec = caller_spec(day, ordinal as u32, front.addrs.diameter);
         callers.push(Caller::start(spec, told, recorder.clone(), day.seed * 10_000 + ordinal as u64));
         offers.push(tell);
@@ -238,6 +248,8 @@
         links,
         fronts,
         offers,
+        relays,
+        usual,
         pool,
         lists,
         lag: day.list_lag,
@@ -488,6 +500,7 @@
                 });
             }
             What::ListLag { lag } => self.lag = *lag,
+            What::MessagesLost { share } => self.relays.iter().for_each(|relay| relay.lose(*share)),
         }
         then.push((over, Then::End(what.clone())));
         then
@@ -501,6 +514,11 @@
             What::LinkDown { server } | What::LinkStalled { server } => self.link(*server, Fault::default()),
             What::Burst { .. } => self.offers(|offers| offers.factor = 1.0),
             What::Hot { .. } => self.offers(|offers| offers.hot = 0.0),
+            What::MessagesLost { .. } => self.relays.iter().for_each(|relay| relay.lose(0.0)),
+            What::Redials { .. } => {
+                let (times, wait) = (self.usual.redials, self.usual.redial_wait);
+                self.offers(|offers| (offers.redials, offers.redial_wait) = (times, wait));
+            }
             _ => {}
         }
     }
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -142,6 +142,7 @@
     Reconnect { front: usize },
     Stall { front: usize },
     ListLag { lag: Micros },
+    MessagesLost { share: f64 },
 }
 
 /// Reads a script.
@@ -334,6 +335,7 @@
         "reconnect" => What::Reconnect { front: front() },
         "stall" => What::Stall { front: front() },
         "list-lag" => What::ListLag { lag: node.time("lag", 0..=HOUR).unwrap_or(10 * S) },
+        "messages-lost" => What::MessagesLost { share: share() },
         other => {
             node.wrong(format!("no trouble or setting is called {other}"), None);
             return None;
--- /dev/null
+++ b/crates/desk/tests/desk.rs
@@ -0,0 +1,254 @@
+//! The desk without sockets: what requests mean, who may connect, and what answers are.
+
+use baydrift::interface::{Note, Outcome, ServerState};
+use baydrift_call::{AttemptId, Final, LinkId, Refusal};
+use baydrift_config::Config;
+use baydrift_desk::{
+    code_of, end_of, number_of, Desk, DeskInput, DeskOutput, Doors, Kind, Opened, PoolEntry, PoolError,
+    PoolList, Table, Transit,
+};
+use baydrift_diameter::credit::{self, Ccr, Ends, RequestType};
+use baydrift_diameter::{code, dict, load, result, Avp, Local, Message, Remote};
+
+fn config() -> Config {
+    let text = r#"
+front "f.test" realm="test" { listen "127.0.0.1:0"; serves "core.test"; }
+class "grid" { context "grid@test"; gives-up "3s"; }
+class "check" { context "check@test"; gives-up "2s"; }
+publisher "gulf" { realm "gulf.test"; }
+publisher "pecos" { subscription "pecos:"; }
+client "c1.test" realm="test" connections=1
+client "relay.test" realm="test" relay=#true
+server "s0.test" realm="core.test" number=0 addr="127.0.0.1:1"
+server "s1.test" realm="core.test" number=1 addr="127.0.0.1:2"
+limits { connections 3; half-open 2; }
+"#;
+    baydrift_config::parse("test", text).unwrap_or_else(|e| panic!("{:?}", e.problems))
+}
+
+fn ccr(session: &str, kind: RequestType) -> Message {
+    let ends = Ends { host: "c1.test", realm: "gulf.test", to_realm: "core.test", to_host: Some("s1.test") };
+    let mut message = credit::request(ends, session, "check@test", kind, 0);
+    (message.header.hop_by_hop, message.header.end_to_end) = (3, 4);
+    message
+}
+
+struct World {
+    desk: Desk,
+    now: u64,
+}
+
+impl World {
+    fn new() -> Self {
+        let mut w = Self { desk: Desk::new(&config(), 9, 1).expect("good settings"), now: 0 };
+        for server in [0, 1] {
+            w.hear(DeskInput::ServerUp { server, state_id: Some(1) });
+        }
+        let remote = Remote { host: "c1.test".into(), realm: "test".into(), state_id: Some(1) };
+        w.hear(DeskInput::ClientUp { link: LinkId(1), opened: Opened { remote, relay: false } });
+        w
+    }
+
+    fn hear(&mut self, input: DeskInput) -> Vec<DeskOutput> {
+        self.now += 1_000;
+        let mut out = Vec::new();
+        self.desk.hear(self.now, input, &mut out);
+        self.desk.hear(self.now, DeskInput::Tick, &mut out);
+        out
+    }
+
+    fn ask(&mut self, message: Message) -> Vec<DeskOutput> {
+        self.hear(DeskInput::ClientRequest { link: LinkId(1), message })
+    }
+
+    fn set_up(&mut self, session: &str) -> (u64, AttemptId, Message) {
+        match &self.ask(ccr(session, RequestType::Initial))[..] {
+            [DeskOutput::ToServer { server, attempt, kind: Kind::SetUp, message }] => {
+                (*server, *attempt, message.clone())
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[test]
+fn the_table_alone_says_what_a_request_is() {
+    let table = Table::new(&config());
+    let facts = |change: &dyn Fn(&mut Message)| {
+        let mut message = ccr("c1.test;1", RequestType::Initial);
+        change(&mut message);
+        let read = Ccr::read(&message).expect("complete");
+        table.facts(&message, &read).map_err(|fault| fault.code)
+    };
+    let plain = facts(&|_| {}).unwrap();
+    assert_eq!((plain.class, plain.tenant, plain.first_choice, plain.gives_up), (1, 0, Some(1), 2_000_000));
+    let subscribed = |data: &str| {
+        Avp::group(dict::SUBSCRIPTION_ID, &[Avp::u32(dict::SUBSCRIPTION_ID_TYPE, 4), Avp::text(444, data)])
+    };
+    assert_eq!(facts(&|m| m.push(subscribed("pecos:7"))).unwrap().tenant, 1);
+    assert_eq!(facts(&|m| m.push(subscribed("other:7"))).unwrap().tenant, 0);
+    let set = |code: u32, text: &'static str| {
+        move |m: &mut Message| {
+            m.avps.retain(|avp| avp.code != code);
+            m.push(Avp::text(code, text));
+        }
+    };
+    assert_eq!(facts(&set(dict::ORIGIN_REALM, "nobody")).unwrap().tenant, 2);
+    assert_eq!(facts(&set(dict::DESTINATION_HOST, "f.test")).unwrap().first_choice, None);
+    assert_eq!(facts(&set(dict::DESTINATION_HOST, "s9.test")), Err(result::UNABLE_TO_DELIVER));
+    assert_eq!(facts(&set(dict::DESTINATION_REALM, "x")), Err(result::REALM_NOT_SERVED));
+    assert_eq!(facts(&set(dict::SERVICE_CONTEXT_ID, "x")), Err(result::INVALID_AVP_VALUE));
+    assert_eq!((number_of(""), number_of("0"), number_of("5550100")), (0, 1, 5_550_100));
+    assert!(number_of("sip:a") != number_of("sip:b") && number_of(&"9".repeat(40)) > 0);
+}
+
+#[test]
+fn each_result_code_has_its_meaning() {
+    let answer = |code| credit::answer(&ccr("s", RequestType::Initial), code, "s0.test", "core.test");
+    assert_eq!(end_of(&answer(result::SUCCESS)), None);
+    let cases = [
+        (result::TOO_BUSY, Outcome::Full, Note::ProcessorFull(2_500_000)),
+        (result::RESOURCES_EXCEEDED, Outcome::Full, Note::NoLine),
+        (result::END_USER_SERVICE_DENIED, Outcome::Error, Note::NumberBusy),
+        (result::UNABLE_TO_DELIVER, Outcome::Moot, Note::None),
+        (result::UNABLE_TO_COMPLY, Outcome::Error, Note::None),
+        (0, Outcome::Error, Note::None),
+    ];
+    for (code, outcome, note) in cases {
+        let mut message = answer(code);
+        let report = baydrift::interface::Report { wait_s: Some(2.5), ..Default::default() };
+        load::write(&report, "s0.test", 1, &mut message);
+        let end = end_of(&message).unwrap();
+        assert_eq!((end.outcome, end.note, end.report.wait_s), (outcome, note, Some(2.5)), "{code}");
+    }
+    let refused = Final::Refused { retry_after: 0, why: Refusal::Decided };
+    let codes = [Final::Stands, refused, Final::Failed].map(|answer| code_of(answer).0);
+    assert_eq!(codes, [result::SUCCESS, result::TOO_BUSY, result::UNABLE_TO_COMPLY]);
+}
+
+#[test]
+fn a_set_up_has_a_session_of_its_own_and_keeps_what_the_caller_said() {
+    let mut w = World::new();
+    let extra = Avp { mandatory: false, ..Avp::of_vendor(77, 5, vec![1, 2]) };
+    let out = w.ask(
+        ccr("c1.test;1", RequestType::Initial).with(extra.clone()).with(Avp::text(dict::ROUTE_RECORD, "p")),
+    );
+    let [DeskOutput::ToServer { server: 1, attempt, message, .. }] = &out[..] else { panic!("{out:?}") };
+    assert_eq!(message.text(dict::SESSION_ID), Some(format!("f.test;9;{}", attempt.0).as_str()));
+    assert_eq!(message.text(dict::DESTINATION_HOST), Some("s1.test"));
+    assert_eq!(message.text(dict::CC_CORRELATION_ID), Some("c1.test|c1.test;1"));
+    assert!(message.avps.contains(&extra));
+    let route: Vec<_> = message.all(dict::ROUTE_RECORD).filter_map(Avp::as_text).collect();
+    assert_eq!(route, ["p", "c1.test"]);
+    assert_eq!(dict::check(message), Ok(()));
+    assert!(Ccr::read(message).is_ok());
+}
+
+#[test]
+fn an_abort_finds_its_call_and_a_foreign_one_does_not() {
+    let mut w = World::new();
+    let (server, attempt, message) = w.set_up("c1.test;1");
+    let cca = credit::answer(&message, result::SUCCESS, "s1.test", "core.test");
+    let out = w.hear(DeskInput::ServerAnswer { server, attempt, kind: Kind::SetUp, message: cca });
+    assert!(
+        matches!(&out[..], [DeskOutput::ToClient { message, .. }] if message.result() == result::SUCCESS)
+    );
+    let ends = Ends { host: "s1.test", realm: "core.test", to_realm: "test", to_host: None };
+    let codes = |out: &[DeskOutput]| -> Vec<u32> {
+        out.iter()
+            .map(|o| match o {
+                DeskOutput::Reply { message, .. } => message.result(),
+                DeskOutput::ToClient { message, .. } => message.header.code,
+                other => panic!("{other:?}"),
+            })
+            .collect()
+    };
+    for foreign in ["f.test;8;1", "other;9;1", "f.test;9;x", "", ";;;"] {
+        let message = credit::abort(ends, foreign);
+        assert_eq!(
+            codes(&w.hear(DeskInput::ServerRequest { server, message })),
+            [result::UNKNOWN_SESSION_ID]
+        );
+    }
+    let message = credit::abort(ends, &format!("f.test;9;{}", attempt.0));
+    let out = w.hear(DeskInput::ServerRequest { server, message });
+    assert_eq!(codes(&out), [result::SUCCESS, code::ABORT_SESSION]);
+    assert_eq!(w.desk.held().calls, 0);
+}
+
+#[test]
+fn a_client_down_takes_its_tickets_along() {
+    let mut w = World::new();
+    w.set_up("c1.test;1");
+    assert_eq!(w.desk.held().tickets, 1);
+    // The same call asked for many times over: only so many requests wait.
+    for _ in 0..50 {
+        w.ask(ccr("c1.test;1", RequestType::Initial));
+    }
+    assert!(w.desk.held().tickets <= 4, "{:?}", w.desk.held());
+    w.hear(DeskInput::ClientDown(LinkId(1)));
+    assert_eq!(w.desk.held().tickets, 0);
+}
+
+#[test]
+fn doors_count_and_know_whom_to_let_in() {
+    let local = Local {
+        host: "f.test".into(),
+        realm: "test".into(),
+        addresses: vec![],
+        vendor: 0,
+        product: "x".into(),
+        state_id: 1,
+        applications: vec![4],
+        commands: vec![],
+    };
+    let cer = |host: &str, realm: &str| {
+        Message::request(code::CAPABILITIES, 0)
+            .with(Avp::text(dict::ORIGIN_HOST, host))
+            .with(Avp::text(dict::ORIGIN_REALM, realm))
+            .with(Avp::address(dict::HOST_IP_ADDRESS, [127, 0, 0, 1].into()))
+            .with(Avp::u32(dict::VENDOR_ID, 0))
+            .with(Avp::text(dict::PRODUCT_NAME, "x"))
+            .with(Avp::u32(dict::AUTH_APPLICATION_ID, 4))
+    };
+    let mut doors = Doors::new(&config());
+    assert!(doors.accept(LinkId(1)) && doors.accept(LinkId(2)));
+    assert!(!doors.accept(LinkId(3)), "two are half-open");
+    let code = |result: Result<Opened, baydrift_diameter::Fault>| result.map(|o| o.relay).map_err(|f| f.code);
+    assert_eq!(code(doors.greet(LinkId(1), &cer("nobody", "test"), &local)), Err(result::UNKNOWN_PEER));
+    assert_eq!(code(doors.greet(LinkId(1), &cer("c1.test", "else"), &local)), Err(result::UNKNOWN_PEER));
+    assert_eq!(code(doors.greet(LinkId(1), &cer("c1.test", "test"), &local)), Ok(false));
+    assert_eq!(code(doors.greet(LinkId(2), &cer("c1.test", "test"), &local)), Err(result::UNABLE_TO_COMPLY));
+    assert_eq!(code(doors.greet(LinkId(2), &cer("relay.test", "test"), &local)), Ok(true));
+    assert!(doors.accept(LinkId(3)));
+    assert!(!doors.accept(LinkId(4)), "three in all");
+    (1..=4).for_each(|link| doors.close(LinkId(link)));
+    assert_eq!(doors.count(), (0, 0));
+}
+
+#[test]
+fn a_list_is_taken_whole_or_not_at_all() {
+    let mut w = World::new();
+    let mut push = |version, hosts: &[&str]| {
+        let line =
+            |host: &&str| PoolEntry { host: (*host).into(), state: ServerState::Draining, started_ago: None };
+        let list = PoolList { version, full: false, servers: hosts.iter().map(line).collect() };
+        w.desk.pool(w.now, &list, &mut Vec::new())
+    };
+    assert_eq!(push(3, &["s0.test", "s9.test"]), Err(PoolError::Unknown("s9.test".into())));
+    assert_eq!(push(3, &["s0.test", "s0.test"]), Err(PoolError::Twice("s0.test".into())));
+    assert_eq!(push(3, &["s1.test"]), Ok(()));
+    assert_eq!(push(3, &["s0.test"]), Err(PoolError::Old { got: 3, known: 3 }));
+    assert_eq!(w.set_up("c1.test;1").0, 0, "the first choice drains, the other never did");
+}
+
+#[test]
+fn transit_forgets_the_oldest_at_its_bound() {
+    let mut transit = Transit::new(2);
+    (1..=3).for_each(|id| transit.sent(id, AttemptId(u64::from(id)), Kind::SetUp));
+    assert_eq!((transit.len(), transit.answered(1)), (2, None));
+    assert_eq!(transit.answered(3), Some((AttemptId(3), Kind::SetUp)));
+    assert_eq!(transit.answered(3), None);
+    transit.clear();
+    assert!(transit.is_empty());
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,7 +7,7 @@
 mod server;
 
 pub use caller::{Caller, CallerSpec, Flow, Offers};
-pub use link::{Fault, Link};
+pub use link::{Datagrams, Fault, Link};
 pub use list::push;
 pub use model::{Processor, ProcessorSpec, Taken, Work};
 pub use server::{Command, Server, ServerSpec};
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{mpsc, watch};
 
 /// What a link does to what crosses it.
@@ -129,3 +131,54 @@
         let _ = cut.send(()).await;
     });
 }
+
+/// A relay of datagrams between two fronts that can lose them. Each front knows the other by this address.
+pub struct Datagrams {
+    /// Its address.
+    pub addr: SocketAddr,
+    ends: watch::Sender<Option<(SocketAddr, SocketAddr)>>,
+    lost: watch::Sender<f64>,
+}
+
+impl Datagrams {
+    /// A relay that knows its ends only once [`Datagrams::between`] tells them; `seed` draws what is lost.
+    ///
+    /// # Errors
+    /// Where the socket cannot be bound.
+    pub async fn start(seed: u64) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind("127.0.0.1:0").await?;
+        let addr = socket.local_addr()?;
+        let (ends, known) = watch::channel(None);
+        let (lost, share) = watch::channel(0.0);
+        tokio::spawn(async move {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            let mut buffer = [0u8; 2_048];
+            let mut gone = known.clone();
+            loop {
+                let received = tokio::select! {
+                    received = socket.recv_from(&mut buffer) => received,
+                    changed = gone.changed() => match changed {
+                        Ok(()) => continue,
+                        Err(_) => return,
+                    },
+                };
+                let (Ok((size, from)), Some((a, b))) = (received, *known.borrow()) else { continue };
+                if rng.random::<f64>() >= *share.borrow() {
+                    let to = if from == a { b } else { a };
+                    let _ = socket.try_send_to(&buffer[..size], to);
+                }
+            }
+        });
+        Ok(Self { addr, ends, lost })
+    }
+
+    /// Relays between these two.
+    pub fn between(&self, a: SocketAddr, b: SocketAddr) {
+        self.ends.send_replace(Some((a, b)));
+    }
+
+    /// Loses this share from now on.
+    pub fn lose(&self, share: f64) {
+        self.lost.send_replace(share);
+    }
+}
