--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -63,7 +63,7 @@
         realm: "demo.test".into(),
         front: (0, config.host.clone(), config.realm.clone(), addr),
         to_realm: config.realm.clone(),
-        servers: (0..SERVERS).map(|n| format!("s{n}.demo.test")).collect(),
+        servers: (0..SERVERS).map(|n| (format!("s{n}.demo.test"), 1.0)).collect(),
         flows: vec![flow(0, "lookup@demo.test", 0.8), flow(1, "check@demo.test", 0.2)],
         watchdog: 6_000_000,
     };
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -354,7 +354,14 @@
         realm: "test".into(),
         front: (ordinal, format!("front{ordinal}.edge.test"), "edge.test".into(), addr),
         to_realm: "core.test".into(),
-        servers: (0..day.servers.rates.len()).map(host_of).collect(),
+        // A call's first choice follows what servers can do, as routes are planned.
+        servers: day
+            .servers
+            .rates
+            .iter()
+            .enumerate()
+            .map(|(number, rate)| (host_of(number), *rate))
+            .collect(),
         flows,
         watchdog: day.watchdog * 4,
     }
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -72,8 +72,8 @@
     pub front: (u32, String, String, SocketAddr),
     /// Destination-Realm of calls.
     pub to_realm: String,
-    /// Servers by number, to name as first choice.
-    pub servers: Vec<String>,
+    /// Servers by number, to name as first choice, each as often as its weight says.
+    pub servers: Vec<(String, f64)>,
     /// Calls.
     pub flows: Vec<Flow>,
     /// Tw.
@@ -320,6 +320,17 @@
         self.due.insert((at, self.order), due);
     }
 
+    /// A server by weight.
+    fn choice(&mut self) -> usize {
+        let total: f64 = self.spec.servers.iter().map(|(_, weight)| weight).sum();
+        let mut left = self.rng.random::<f64>() * total;
+        let over = |(_, weight): &(String, f64)| {
+            left -= weight;
+            left < 0.0
+        };
+        self.spec.servers.iter().position(over).unwrap_or(0)
+    }
+
     fn drawn(&mut self, mean: f64) -> Micros {
         let mean = mean.max(1.0);
         Exp::new(1.0 / mean).map_or(mean as Micros, |exp| exp.sample(&mut self.rng) as Micros)
@@ -340,7 +351,7 @@
                 self.next[flow] = now + self.drawn(1e6 / rate);
             }
             while self.next[flow] <= now {
-                let choice = self.rng.random_range(0..self.spec.servers.len().max(1));
+                let choice = self.choice();
                 let hot = self.rng.random::<f64>() < offers.hot;
                 messages.push(self.offer(now, flow, None, 0, hot, choice));
                 self.next[flow] += self.drawn(1e6 / rate).max(1);
@@ -396,7 +407,7 @@
             host: &self.spec.host,
             realm: &self.spec.realm,
             to_realm: &self.spec.to_realm,
-            to_host: self.spec.servers.get(choice).map(String::as_str),
+            to_host: self.spec.servers.get(choice).map(|(host, _)| host.as_str()),
         };
         let number =
             if hot { HOT.to_owned() } else { format!("{}", 6_000_000 + self.rng.random_range(0..1_000_000)) };
