Text commands as calls: H.248 contexts on the same engine, without sockets yet

Need: the second front must give the same final answers under the same rules. Change: the desk runs H.248 transactions command by command beside Diameter requests: Add sets a call up and its reply is the final answer, Subtract releases with statistics, cuts and overload are notified, ServiceChange registers, restarts and takes leave; fair turns by client; text clients by MId in the configuration.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -9,7 +9,7 @@
 
 /// Checks names that must be unique and things that must be there.
 pub(crate) fn check(document: &KdlDocument, problems: &Problems, front: &Node<'_>, config: &Config) {
-    for kind in ["class", "publisher", "client", "server"] {
+    for kind in ["class", "publisher", "client", "text-client", "server"] {
         unique(document, problems, kind, |node| node.entries().iter().find(|e| e.name().is_none()));
     }
     unique(document, problems, "server", |node| node.entries().iter().find(|e| is(e, "number")));
@@ -17,9 +17,12 @@
     if config.classes.is_empty() {
         front.wrong("no class is configured", Some("class \"name\" { context \"name@realm\" }"));
     }
-    if config.clients.is_empty() {
+    if config.clients.is_empty() && config.text_clients.is_empty() {
         front.wrong("no client may connect", Some("client \"gateway.example\" realm=\"example\""));
     }
+    if config.text.is_none() && !config.text_clients.is_empty() {
+        front.wrong("text-clients have nowhere to speak", Some("text udp=\"127.0.0.1:2944\""));
+    }
     if config.servers.is_empty() {
         front.wrong("no server is configured", Some("server \"s1.example\" realm=... number=0 addr=..."));
     }
--- a/crates/config/src/front.rs
+++ b/crates/config/src/front.rs
@@ -6,14 +6,25 @@
 
 use crate::check::check;
 use crate::reader::{parse_document, ConfigError, Node, Problems};
-use crate::{ClassEntry, Client, Config, Fleet, LinkLimits, Pool, Publisher, Server};
+use crate::{ClassEntry, Client, Config, Fleet, LinkLimits, Pool, Publisher, Server, Text, TextClient};
 
 const MS: u64 = 1_000;
 const S: u64 = 1_000_000;
 const HOUR: u64 = 3_600 * S;
 
-const KNOWN: [&str; 9] =
-    ["front", "limits", "policy", "class", "publisher", "client", "server", "pool", "fleet"];
+const KNOWN: [&str; 11] = [
+    "front",
+    "limits",
+    "policy",
+    "class",
+    "publisher",
+    "client",
+    "server",
+    "pool",
+    "fleet",
+    "text",
+    "text-client",
+];
 
 /// Reads and checks a front's configuration; `name` is the file's, for messages.
 ///
@@ -75,6 +86,8 @@
         limits: Limits { grace, cold_rate, ..limits },
         links,
         clients: all(document, problems, "client").into_iter().map(client).collect(),
+        text: one(document, problems, "text").map(text),
+        text_clients: all(document, problems, "text-client").into_iter().map(text_client).collect(),
         servers: all(document, problems, "server").into_iter().map(server).collect(),
         pool: one(document, problems, "pool").map(pool),
         fleet: one(document, problems, "fleet").map(fleet),
@@ -158,6 +171,18 @@
     client
 }
 
+fn text(node: Node<'_>) -> Text {
+    let text = Text { udp: node.need_addr("udp"), tcp: node.addr("tcp") };
+    node.done();
+    text
+}
+
+fn text_client(node: Node<'_>) -> TextClient {
+    let client = TextClient { mid: node.name("its MId"), realm: node.need_text("realm") };
+    node.done();
+    client
+}
+
 fn server(node: Node<'_>) -> Server {
     let state = match node.text("state").as_deref() {
         None | Some("ready") => ServerState::Ready,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -42,6 +42,10 @@
     pub publishers: Vec<Publisher>,
     /// Who may connect.
     pub clients: Vec<Client>,
+    /// Where H.248 text commands are taken.
+    pub text: Option<Text>,
+    /// Who may send them.
+    pub text_clients: Vec<TextClient>,
     /// Where calls are set up.
     pub servers: Vec<Server>,
     /// Where the list service pushes the pool.
@@ -108,6 +112,24 @@
     pub relay: bool,
 }
 
+/// Where H.248 text commands are taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Text {
+    /// Datagrams.
+    pub udp: SocketAddr,
+    /// TPKT over TCP.
+    pub tcp: Option<SocketAddr>,
+}
+
+/// A client that sends text commands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TextClient {
+    /// Its MId, as it writes it: `<domain>`, `[address]` or a device's name, with its port if any.
+    pub mid: String,
+    /// Its realm, for publishers.
+    pub realm: String,
+}
+
 /// A server peer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Server {
--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -19,6 +19,7 @@
 use crate::facts::Table;
 use crate::meaning::{code_of, end_of};
 use crate::pool::{PoolError, PoolList, Roster};
+use crate::text::{Step, Text, Told};
 use crate::transit::Kind;
 
 /// Room that is made for what a caller's CCR adds to a set-up.
@@ -92,6 +93,17 @@
         /// The request.
         message: Message,
     },
+    /// A datagram or packet of H.248 text.
+    Text {
+        /// The address it came from, or its connection.
+        link: LinkId,
+        /// Whether the transport loses nothing.
+        reliable: bool,
+        /// The text.
+        bytes: Vec<u8>,
+    },
+    /// A connection of text commands is gone.
+    TextGone(LinkId),
     /// A message from another front.
     Fleet {
         /// Its ordinal.
@@ -128,6 +140,13 @@
         /// The message; it still wants its hop-by-hop id.
         message: Message,
     },
+    /// H.248 text to a client.
+    Text {
+        /// Its address or connection.
+        link: LinkId,
+        /// The text.
+        text: Arc<str>,
+    },
     /// An answer to a server's request.
     Reply {
         /// The server.
@@ -161,9 +180,9 @@
 
 /// What goes with a call until its answer.
 #[derive(Debug, Clone)]
-struct Payload {
-    request: Arc<Message>,
-    span: Span,
+pub(crate) struct Payload {
+    pub(crate) request: Arc<Message>,
+    pub(crate) span: Span,
 }
 
 impl PartialEq for Payload {
@@ -214,10 +233,11 @@
 /// See the crate's page.
 #[derive(Debug)]
 pub struct Desk {
-    host: String,
+    pub(crate) host: String,
     realm: String,
-    boot: u32,
-    table: Table,
+    pub(crate) boot: u32,
+    pub(crate) table: Table,
+    pub(crate) text: Text,
     roster: Roster,
     /// Origin-Host and Origin-Realm of this front.
     origin: [Avp; 2],
@@ -228,11 +248,11 @@
     engine: Engine<Payload>,
     clients: BTreeMap<LinkId, ClientLink>,
     tickets: BTreeMap<Request, (Arc<Message>, Span)>,
-    next_ticket: u64,
+    pub(crate) next_ticket: u64,
     /// Origin-State-Ids by host; only configured hosts get here.
     state_ids: BTreeMap<String, u32>,
     outputs: Vec<Output<Payload>>,
-    faults: u64,
+    pub(crate) faults: u64,
 }
 
 impl Desk {
@@ -264,6 +284,7 @@
             realm: config.realm.clone(),
             boot,
             table: Table::new(config),
+            text: Text::new(config, u64::from(boot)),
             roster: Roster::new(config),
             origin: [
                 Avp::text(dict::ORIGIN_HOST, &config.host),
@@ -319,11 +340,17 @@
                 self.server_answer(now, server, attempt, kind, &message, out);
             }
             DeskInput::ServerRequest { server, message } => self.server_request(now, server, &message, out),
+            DeskInput::Text { link, reliable, bytes } => self.text_heard(now, link, reliable, &bytes, out),
+            DeskInput::TextGone(link) => self.text_gone(now, link, out),
             DeskInput::Fleet { from, payload } => self.engine(now, Input::Peer { from, payload }, out),
-            DeskInput::Tick => self.engine(now, Input::Tick, out),
+            DeskInput::Tick => {
+                self.engine(now, Input::Tick, out);
+                self.text_tick(now, out);
+            }
             DeskInput::Stop => self.engine(now, Input::Stop, out),
             DeskInput::CutAll => self.engine(now, Input::CutAll, out),
         }
+        self.text_steps(now, out);
     }
 
     /// Takes a pushed pool list.
@@ -338,7 +365,8 @@
 
     /// When [`DeskInput::Tick`] is wanted at the latest.
     pub fn next_wake(&self) -> Option<Micros> {
-        self.engine.next_wake()
+        let text = self.text.clients.values().filter_map(|client| client.exchange.due());
+        self.engine.next_wake().into_iter().chain(text).min()
     }
 
     /// What the engine has counted.
@@ -486,7 +514,7 @@
 
     // --- the engine ---
 
-    fn engine(&mut self, now: Micros, input: Input<Payload>, out: &mut Vec<DeskOutput>) {
+    pub(crate) fn engine(&mut self, now: Micros, input: Input<Payload>, out: &mut Vec<DeskOutput>) {
         let mut outputs = std::mem::take(&mut self.outputs);
         outputs.clear();
         if input == Input::Tick {
@@ -513,6 +541,9 @@
             }
             Output::Answer { request, session: _, answer } => self.answer(request, answer, out),
             Output::AnswerRelease { request, result, .. } => {
+                if let Some((link, id)) = self.text.waiting.remove(&request) {
+                    return self.text.steps.push_back(Step::Told(link, id, Told::Released(result)));
+                }
                 let code = match result {
                     ReleaseResult::Done => result::SUCCESS,
                     ReleaseResult::Unknown => result::UNKNOWN_SESSION_ID,
@@ -523,8 +554,12 @@
                 }
             }
             Output::Dropped(request) => {
+                self.text.waiting.remove(&request);
                 self.tickets.remove(&request);
             }
+            Output::Cut { link, session, .. } if self.text.clients.contains_key(&link) => {
+                self.text.steps.push_back(Step::Cut(link, session));
+            }
             Output::Cut { link, session, class: _ } => {
                 let Some(client) = self.clients.get(&link) else { return };
                 // A relay's callers are behind it: a Session-Id begins with its origin's name.
@@ -545,6 +580,9 @@
     }
 
     fn answer(&mut self, request: Request, answer: Final, out: &mut Vec<DeskOutput>) {
+        if let Some((link, id)) = self.text.waiting.remove(&request) {
+            return self.text.steps.push_back(Step::Told(link, id, Told::Answer(answer)));
+        }
         let Some((asked, span)) = self.tickets.remove(&request) else { return };
         let (code, text) = code_of(answer);
         span.in_scope(|| debug!(code, "final answer"));
--- a/crates/desk/src/facts.rs
+++ b/crates/desk/src/facts.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// The realm of calls that name none.
+    pub(crate) fn first_realm(&self) -> &str {
+        self.serves.first().map_or("", String::as_str)
+    }
+
     /// Reads a set-up's facts.
     ///
     /// # Errors
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -5,11 +5,13 @@
 //! [`baydrift_diameter::Peer`] has checked, and sends what comes out. [`Doors`] counts connections before and
 //! after their capabilities exchange. [`Transit`] is one server link's memory of requests sent.
 
+mod commands;
 mod desk;
 mod doors;
 mod facts;
 mod meaning;
 mod pool;
+mod text;
 mod transit;
 
 pub use desk::{Desk, DeskInput, DeskOutput, Held};
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -169,9 +169,10 @@
         self.sender.tick(now, &mut self.counts, out);
     }
 
-    /// The other end restarted: its ids start anew, and what it had asked for is of no use to it.
-    pub fn restart(&mut self) {
-        self.receiver.clear();
+    /// The other end restarted, as it said in request `keep`: its ids start anew, and what it had asked for
+    /// before is of no use to it.
+    pub fn restart(&mut self, keep: u32) {
+        self.receiver.clear_but(keep);
     }
 
     /// What has happened.
--- a/crates/exchange/src/receive.rs
+++ b/crates/exchange/src/receive.rs
@@ -151,9 +151,9 @@
         }
     }
 
-    pub(crate) fn clear(&mut self) {
-        self.known.clear();
-        self.due.clear();
+    pub(crate) fn clear_but(&mut self, keep: u32) {
+        self.known.retain(|id, _| *id == keep);
+        self.due.retain(|(_, id)| *id == keep);
     }
 
     pub(crate) fn len(&self) -> usize {
