H.248 text on sockets: datagrams, and TPKT over TCP

Change: a task for datagrams with bounded addresses, one a TPKT connection with bounded queues; addresses are announced.

--- a/crates/cli/src/front.rs
+++ b/crates/cli/src/front.rs
@@ -39,7 +39,13 @@
             "service_context_ids": contexts,
         })
     );
-    for (what, addr) in [("pool", addrs.pool), ("fleet", addrs.fleet)] {
+    let others = [
+        ("pool", addrs.pool),
+        ("fleet", addrs.fleet),
+        ("h248-udp", addrs.text_udp),
+        ("h248-tcp", addrs.text_tcp),
+    ];
+    for (what, addr) in others {
         if let Some(addr) = addr {
             println!("{}", serde_json::json!({"listen": what, "addr": addr.to_string()}));
         }
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -12,12 +12,15 @@
 use tokio::sync::{mpsc, oneshot};
 use tracing::{info, warn};
 
+use crate::text::Datagram;
 use crate::{fleet, Shared, Snapshot, Spent};
 
 /// What tasks tell the core.
 pub(crate) enum ToCore {
     /// A client's link is open; messages for it go here.
     ClientUp(LinkId, Opened, mpsc::Sender<ToLink>),
+    /// A text client's connection is open; texts for it go here.
+    TextUp(LinkId, mpsc::Sender<Arc<str>>),
     /// Anything else for the desk.
     Desk(DeskInput),
     /// A pushed list; the answer goes back to who pushed it.
@@ -55,6 +58,8 @@
     desk: Desk,
     clients: BTreeMap<LinkId, mpsc::Sender<ToLink>>,
     servers: BTreeMap<ServerId, mpsc::Sender<ToLink>>,
+    texts: BTreeMap<LinkId, mpsc::Sender<Arc<str>>>,
+    datagrams: Option<mpsc::Sender<Datagram>>,
     fleet: Option<Arc<UdpSocket>>,
     out: Vec<DeskOutput>,
     stopping: Option<(Instant, Option<oneshot::Sender<()>>)>,
@@ -66,6 +71,7 @@
     desk: Desk,
     mut inputs: mpsc::Receiver<ToCore>,
     servers: BTreeMap<ServerId, mpsc::Sender<ToLink>>,
+    datagrams: Option<mpsc::Sender<Datagram>>,
     fleet: Option<Arc<UdpSocket>>,
 ) {
     let clock = shared.clock;
@@ -75,6 +81,8 @@
         desk,
         clients: BTreeMap::new(),
         servers,
+        texts: BTreeMap::new(),
+        datagrams,
         fleet,
         out: Vec::new(),
         stopping: None,
@@ -123,7 +131,13 @@
                 self.clients.insert(link, sender);
                 self.desk.hear(now, DeskInput::ClientUp { link, opened }, &mut self.out);
             }
+            ToCore::TextUp(link, sender) => {
+                self.texts.insert(link, sender);
+            }
             ToCore::Desk(input) => {
+                if let DeskInput::TextGone(link) = &input {
+                    self.texts.remove(link);
+                }
                 if let DeskInput::ClientDown(link) = &input {
                     self.clients.remove(link);
                 }
@@ -173,6 +187,16 @@
                 DeskOutput::ToServer { server, attempt, kind, message } => {
                     send(&self.servers, server, ToLink::Request(attempt, kind, message));
                 }
+                DeskOutput::Text { link, text } => match (self.texts.get(&link), &self.datagrams) {
+                    // A full queue closes a connection; a datagram is lost, as a network loses some.
+                    (Some(to), _) if to.try_send(text.clone()).is_err() => {
+                        warn!(link = link.0, "text client does not read what it is sent: link closed");
+                        self.texts.remove(&link);
+                    }
+                    (Some(_), _) => {}
+                    (None, Some(datagrams)) => drop(datagrams.try_send((link, text))),
+                    (None, None) => {}
+                },
                 DeskOutput::Reply { server, message } => send(&self.servers, server, ToLink::Send(message)),
                 DeskOutput::ToFront { to, payload } => {
                     if let (Some(socket), Some(config)) = (&self.fleet, &self.shared.config.fleet) {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,6 +11,7 @@
 mod link;
 mod pool;
 mod server;
+mod text;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -57,6 +58,10 @@
     pub pool: Option<SocketAddr>,
     /// Messages between fronts.
     pub fleet: Option<SocketAddr>,
+    /// H.248 text in datagrams.
+    pub text_udp: Option<SocketAddr>,
+    /// H.248 text in TPKT over TCP.
+    pub text_tcp: Option<SocketAddr>,
 }
 
 /// What a front has done and holds.
@@ -135,6 +140,8 @@
     listener: TcpListener,
     pool: Option<TcpListener>,
     fleet: Option<UdpSocket>,
+    text_udp: Option<UdpSocket>,
+    text_tcp: Option<TcpListener>,
     addrs: Addrs,
 }
 
@@ -159,12 +166,21 @@
             Some(fleet) => Some(UdpSocket::bind(fleet.bind).await.map_err(fail("other fronts", fleet.bind))?),
             None => None,
         };
+        let (mut text_udp, mut text_tcp) = (None, None);
+        if let Some(text) = &config.text {
+            text_udp = Some(UdpSocket::bind(text.udp).await.map_err(fail("text commands", text.udp))?);
+            if let Some(tcp) = text.tcp {
+                text_tcp = Some(TcpListener::bind(tcp).await.map_err(fail("text commands", tcp))?);
+            }
+        }
         let addrs = Addrs {
+            text_udp: text_udp.as_ref().and_then(|socket| socket.local_addr().ok()),
+            text_tcp: text_tcp.as_ref().and_then(|socket| socket.local_addr().ok()),
             diameter: listener.local_addr().map_err(fail("clients", config.listen))?,
             pool: pool.as_ref().and_then(|socket| socket.local_addr().ok()),
             fleet: fleet.as_ref().and_then(|socket| socket.local_addr().ok()),
         };
-        Ok(Self { config, listener, pool, fleet, addrs })
+        Ok(Self { config, listener, pool, fleet, text_udp, text_tcp, addrs })
     }
 
     /// What is bound.
@@ -192,7 +208,7 @@
     /// # Errors
     /// As [`Bound::start`].
     pub fn start_with(self, policy: Option<Box<dyn Policy>>) -> Result<Front, FrontError> {
-        let Self { config, listener, pool, fleet, addrs } = self;
+        let Self { config, listener, pool, fleet, text_udp, text_tcp, addrs } = self;
         let boot = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs() as u32);
         let seed = config.seed.unwrap_or_else(rand::random);
         let desk = match policy {
@@ -239,8 +255,17 @@
         if let Some(listener) = pool {
             tokio::spawn(pool::serve(shared.clone(), listener));
         }
+        let mut datagrams = None;
+        if let Some(socket) = text_udp {
+            let (to_socket, to_send) = mpsc::channel(shared.config.links.queue);
+            datagrams = Some(to_socket);
+            tokio::spawn(text::datagrams(shared.clone(), socket, to_send));
+        }
+        if let Some(listener) = text_tcp {
+            tokio::spawn(text::packets(shared.clone(), listener));
+        }
         tokio::spawn(accept(shared.clone(), listener));
-        let core = tokio::spawn(core::run(shared.clone(), desk, from_links, links, fleet));
+        let core = tokio::spawn(core::run(shared.clone(), desk, from_links, links, datagrams, fleet));
         info!(host = shared.config.host, addr = %addrs.diameter, "front runs");
         Ok(Front { addrs, shared, to_core, closing, core })
     }
