--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -51,8 +51,10 @@
     Abort { server: u16, attempt: String },
     /// A server reads a release.
     Release { server: u16, attempt: String },
-    /// A server reads a watchdog request that it will not answer.
+    /// A server reads a watchdog request that it will not answer, or a link begins to hold its answers.
     Mute { server: u16, front: u32 },
+    /// A server, or the link that held its answers, goes on.
+    Speaks { server: u16, front: u32 },
     /// The connection between a front and a server ended.
     Unlinked { server: u16, front: u32 },
     /// A front was told that a server is ready, or not: by the list, or by the server itself.
--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -99,6 +99,13 @@
     assert_eq!(with(|m| m[2] = (900, lost.clone())), [2]);
     assert_eq!(with(|m| m[2] = (900, Moment::Mute { server: 0, front: 0 })), NONE);
     assert_eq!(with(|m| m[2] = (900, Moment::Unlinked { server: 0, front: 0 })), NONE);
+    // One that speaks again is no excuse for later attempts.
+    let spoke = [(0, Moment::Mute { server: 0, front: 0 }), (1, Moment::Speaks { server: 0, front: 0 })];
+    let again = |m: &mut Vec<(u64, Moment)>| {
+        m.splice(1..1, spoke.clone());
+        m.retain(|(_, x)| !matches!(x, Moment::Release { server: 0, .. }));
+    };
+    assert_eq!(with(again), [2]);
 }
 
 #[test]
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -542,7 +542,11 @@
             What::Hang { server } => self.servers[*server].command(Command::Hang(false)),
             What::Slow { server, .. } => self.servers[*server].command(Command::Slow(1.0)),
             What::LoseAnswers { server, .. } => self.servers[*server].command(Command::LoseAnswers(0.0)),
-            What::LinkDown { server } | What::LinkStalled { server } => self.link(*server, Fault::default()),
+            What::LinkDown { server } => self.link(*server, Fault::default()),
+            What::LinkStalled { server } => {
+                self.link(*server, Fault::default());
+                self.each_front(|front| Moment::Speaks { server: *server as u16, front });
+            }
             What::Burst { .. } => self.offers(|offers| offers.factor = 1.0),
             What::Hot { .. } => self.offers(|offers| offers.hot = 0.0),
             What::MessagesLost { .. } => self.relays.iter().for_each(|relay| relay.lose(0.0)),
@@ -554,6 +558,10 @@
         }
     }
 
+    fn each_front(&self, moment: impl Fn(u32) -> Moment) {
+        (0..self.fronts.len() as u32).for_each(|front| self.recorder.put(moment(front)));
+    }
+
     fn link(&self, server: usize, fault: Fault) {
         if let Some(link) = self.links.get(&server) {
             link.set(Fault { delay: Duration::from_micros(self.link_delay), ..fault });
--- a/crates/h248/src/item.rs
+++ b/crates/h248/src/item.rs
@@ -2,6 +2,8 @@
 
 use std::fmt::Write;
 
+use crate::message::Place;
+
 /// How a name and its value stand to each other (`INEQUAL` and `EQUAL` of Annex B.2).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Relation {
@@ -112,9 +114,8 @@
         self.items().iter().find(|item| item.is(long, short))
     }
 
-    pub(crate) fn write(&self, style: Style, depth: usize, to: &mut String) {
-        let name = crate::message::spelled(&self.name, style);
-        to.push_str(name);
+    pub(crate) fn write(&self, style: Style, depth: usize, place: Place, to: &mut String) {
+        to.push_str(place.spelled(&self.name, style));
         if let Some((relation, value)) = &self.value {
             let sign = match relation {
                 Relation::Equal => '=',
@@ -137,12 +138,12 @@
             to.push('}');
         }
         if let Some(group) = &self.group {
-            write_group(group, style, depth, to);
+            write_group(group, style, depth, place.inside(&self.name), to);
         }
     }
 }
 
-pub(crate) fn write_group(group: &[Item], style: Style, depth: usize, to: &mut String) {
+pub(crate) fn write_group(group: &[Item], style: Style, depth: usize, place: Place, to: &mut String) {
     let line = |to: &mut String, depth: usize| {
         if style == Style::Pretty {
             to.push('\n');
@@ -153,12 +154,12 @@
         to.push(' ');
     }
     to.push('{');
-    for (place, item) in group.iter().enumerate() {
-        if place > 0 {
+    for (nth, item) in group.iter().enumerate() {
+        if nth > 0 {
             to.push(',');
         }
         line(to, depth + 1);
-        item.write(style, depth + 1, to);
+        item.write(style, depth + 1, place, to);
     }
     if !group.is_empty() {
         line(to, depth);
--- a/crates/h248/src/message.rs
+++ b/crates/h248/src/message.rs
@@ -5,62 +5,108 @@
 use crate::error::ErrorDescriptor;
 use crate::item::{write_group, Item, Style};
 
-/// Tokens of Annex B.2 with their short forms.
-const TOKENS: &[(&str, &str)] = &[
-    ("Add", "A"),
-    ("Audit", "AT"),
-    ("AuditCapability", "AC"),
-    ("AuditValue", "AV"),
+/// Tokens of Annex B.2 with their short forms, by what groups them: a parameter of an event may be called "E"
+/// and is no Events descriptor.
+const TOP: &[(&str, &str)] = &[
     ("Context", "C"),
-    ("ContextAudit", "CA"),
-    ("Delay", "DL"),
-    ("Disconnected", "DC"),
     ("Error", "ER"),
-    ("Events", "E"),
-    ("Failover", "FL"),
-    ("Forced", "FO"),
-    ("Graceful", "GR"),
-    ("Handoff", "HO"),
     ("ImmAckRequired", "IA"),
-    ("LocalControl", "O"),
+    ("Pending", "PN"),
+    ("Reply", "P"),
+    ("Transaction", "T"),
+    ("TransactionResponseAck", "K"),
+];
+const DESCRIPTORS: &[(&str, &str)] = &[
+    ("Audit", "AT"),
+    ("DigitMap", "DM"),
+    ("Error", "ER"),
+    ("EventBuffer", "EB"),
+    ("Events", "E"),
     ("Media", "M"),
-    ("MgcIdToTry", "MG"),
-    ("Method", "MT"),
-    ("Mode", "MO"),
-    ("Modify", "MF"),
-    ("Move", "MV"),
-    ("Notify", "N"),
+    ("Modem", "MD"),
+    ("Mux", "MX"),
     ("ObservedEvents", "OE"),
     ("Packages", "PG"),
-    ("Pending", "PN"),
-    ("Priority", "PR"),
-    ("Profile", "PF"),
-    ("Reason", "RE"),
-    ("Reply", "P"),
-    ("Restart", "RS"),
-    ("ServiceChange", "SC"),
-    ("ServiceChangeAddress", "AD"),
     ("Services", "SV"),
     ("Signals", "SG"),
     ("Statistics", "SA"),
+];
+const STREAM: &[(&str, &str)] = &[
+    ("Local", "L"),
+    ("LocalControl", "O"),
+    ("Remote", "R"),
+    ("Statistics", "SA"),
     ("Stream", "ST"),
-    ("Subtract", "S"),
     ("TerminationState", "TS"),
-    ("Transaction", "T"),
-    ("TransactionResponseAck", "K"),
-    ("Topology", "TP"),
+];
+const SERVICES: &[(&str, &str)] = &[
+    ("Delay", "DL"),
+    ("Method", "MT"),
+    ("MgcIdToTry", "MG"),
+    ("Profile", "PF"),
+    ("Reason", "RE"),
+    ("ServiceChangeAddress", "AD"),
     ("Version", "V"),
 ];
+const CONTROL: &[(&str, &str)] = &[("Mode", "MO"), ("ReserveGroup", "RG"), ("ReserveValue", "RV")];
+
+/// Where an item stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Place {
+    Top,
+    Context,
+    Command,
+    Stream,
+    Services,
+    Control,
+    Audit,
+    Other,
+}
 
-/// A token as a style spells it; other names as they are.
-pub(crate) fn spelled(name: &str, style: Style) -> &str {
-    // A prefix of the whole command stays in front of its token: it is written apart.
-    let known = TOKENS.iter().find(|(long, short)| long.eq_ignore_ascii_case(name) || *short == name);
-    match (known, style) {
-        (Some((long, _)), Style::Pretty) => long,
-        (Some((_, short)), Style::Compact) => short,
-        (None, _) => name,
+impl Place {
+    fn tokens(self) -> &'static [(&'static str, &'static str)] {
+        match self {
+            Self::Top => TOP,
+            Self::Command | Self::Audit => DESCRIPTORS,
+            Self::Stream => STREAM,
+            Self::Services => SERVICES,
+            Self::Control => CONTROL,
+            Self::Context | Self::Other => &[],
+        }
+    }
+
+    /// Where the items that one here groups stand.
+    pub(crate) fn inside(self, name: &str) -> Self {
+        match (self, name) {
+            (Self::Top, "Context") => Self::Context,
+            (Self::Context, _) => Self::Command,
+            (Self::Command, "Media") | (Self::Stream, "Stream") => Self::Stream,
+            (Self::Command, "Services") => Self::Services,
+            (Self::Command, "Audit") => Self::Audit,
+            (Self::Stream, "LocalControl") => Self::Control,
+            _ => Self::Other,
+        }
     }
+
+    /// The long form of a token here; other names as they are.
+    pub(crate) fn long(self, name: &str) -> &str {
+        let is = |token: &str| token.eq_ignore_ascii_case(name);
+        self.tokens().iter().find(|(long, short)| is(long) || is(short)).map_or(name, |(long, _)| long)
+    }
+
+    /// A long token as a style spells it.
+    pub(crate) fn spelled(self, name: &str, style: Style) -> &str {
+        let known = self.tokens().iter().find(|(long, _)| *long == name && style == Style::Compact);
+        known.map_or(name, |(_, short)| short)
+    }
+}
+
+/// An item and all that it groups, with tokens in their long form.
+pub(crate) fn canonical(item: Item, place: Place) -> Item {
+    let name = place.long(&item.name).to_owned();
+    let inside = place.inside(&name);
+    let group = item.group.map(|group| group.into_iter().map(|item| canonical(item, inside)).collect());
+    Item { name, group, ..item }
 }
 
 /// A ContextID.
@@ -234,7 +280,9 @@
     descriptors: &[Item],
     style: Style,
 ) -> Item {
-    let name = format!("{prefix}{}", spelled(kind.name(), style));
+    let token = CommandKind::ALL.iter().find(|(other, ..)| *other == kind);
+    let token = token.map_or("", |(_, long, short)| if style == Style::Compact { short } else { long });
+    let name = format!("{prefix}{token}");
     let item = Item::new(name).with(termination);
     if descriptors.is_empty() {
         item
@@ -246,7 +294,7 @@
 impl Transaction {
     fn write(&self, style: Style, to: &mut String) {
         let eq = if style == Style::Pretty { " = " } else { "=" };
-        let name = |long| spelled(long, style);
+        let name = |long| Place::Top.spelled(long, style);
         match self {
             Self::Request { id, actions } => {
                 let _ = write!(to, "{}{eq}{id}", name("Transaction"));
@@ -262,7 +310,7 @@
                     });
                     Item::new("Context").with(action.context.text()).grouping(commands.collect())
                 };
-                write_group(&actions.iter().map(action).collect::<Vec<_>>(), style, 0, to);
+                write_group(&actions.iter().map(action).collect::<Vec<_>>(), style, 0, Place::Top, to);
             }
             Self::Reply { id, immediate_ack, body } => {
                 let _ = write!(to, "{}{eq}{id}", name("Reply"));
@@ -279,7 +327,7 @@
                         Item::new("Context").with(action.context.text()).grouping(inner)
                     })),
                 }
-                write_group(&items, style, 0, to);
+                write_group(&items, style, 0, Place::Top, to);
             }
             Self::Pending(id) => {
                 let _ = write!(to, "{}{eq}{id}{{}}", name("Pending"));
@@ -289,7 +337,7 @@
                     Item::new(if from == to { from.to_string() } else { format!("{from}-{to}") })
                 };
                 to.push_str(name("TransactionResponseAck"));
-                write_group(&ranges.iter().map(range).collect::<Vec<_>>(), style, 0, to);
+                write_group(&ranges.iter().map(range).collect::<Vec<_>>(), style, 0, Place::Top, to);
             }
         }
     }
@@ -305,7 +353,7 @@
         match &self.body {
             Body::Error(error) => {
                 separate(&mut to);
-                error_item(error).write(style, 0, &mut to);
+                error_item(error).write(style, 0, Place::Top, &mut to);
             }
             Body::Transactions(transactions) => transactions.iter().for_each(|transaction| {
                 separate(&mut to);
--- a/crates/h248/src/read.rs
+++ b/crates/h248/src/read.rs
@@ -4,7 +4,8 @@
 use crate::grammar::{tree, Tree};
 use crate::item::{Item, Relation, Value};
 use crate::message::{
-    Action, ActionReply, Body, Command, CommandKind, CommandReply, Context, Message, ReplyBody, Transaction,
+    canonical, Action, ActionReply, Body, Command, CommandKind, CommandReply, Context, Message, Place,
+    ReplyBody, Transaction,
 };
 
 /// Reads a message.
@@ -143,7 +144,7 @@
         };
         let kind = self.kind(item, &name)?;
         let termination = self.value(item, code::SYNTAX_IN_COMMAND)?.to_owned();
-        let descriptors = item.items().to_vec();
+        let descriptors = self.descriptors(item);
         for (place, descriptor) in descriptors.iter().enumerate() {
             let same = |other: &Item| other.name.eq_ignore_ascii_case(&descriptor.name);
             if descriptors[..place].iter().any(same) {
@@ -154,6 +155,11 @@
         Ok(Command { kind, optional, wildcard, termination, descriptors })
     }
 
+    /// A command's descriptors, with tokens in their long form.
+    fn descriptors(&self, item: &Item) -> Vec<Item> {
+        item.items().iter().map(|item| canonical(item.clone(), Place::Command)).collect()
+    }
+
     fn reply(&self, item: &Item) -> Result<Transaction, Error> {
         let id = self.id(item)?;
         let (mut immediate_ack, mut actions, mut error) = (false, Vec::new(), None);
@@ -190,7 +196,7 @@
             }
             let kind = self.kind(inner, &inner.name)?;
             let termination = self.value(inner, code::SYNTAX_IN_COMMAND)?.to_owned();
-            replies.push(CommandReply { kind, termination, descriptors: inner.items().to_vec() });
+            replies.push(CommandReply { kind, termination, descriptors: self.descriptors(inner) });
         }
         Ok(ActionReply { context, replies, error })
     }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -299,7 +299,12 @@
         match command {
             Command::Slow(factor) => self.cpu.set_slow(factor),
             Command::Pause(span) => self.cpu.pause(self.recorder.now() + span),
-            Command::Hang(hung) => self.hung.store(hung, std::sync::atomic::Ordering::Relaxed),
+            Command::Hang(hung) => {
+                self.hung.store(hung, std::sync::atomic::Ordering::Relaxed);
+                for conn in self.conns.values().filter(|_| !hung) {
+                    self.recorder.put(Moment::Speaks { server: self.spec.number, front: conn.front });
+                }
+            }
             Command::LoseAnswers(share) => self.lose = share,
             Command::Cut(share) => {
                 let cut: Vec<_> =
