A flood by one publisher over text, with and without heeded overload notices

Need: overload control towards text clients had to be shown to spare the others; and the audit still missed that a stalled link holds watchdog answers (the moment was put at its end alone). Change: a text client for each publisher, a flood as a trouble, callers that throttle at ocp/mg_overload; service by publisher and protocol; moments at both ends of a held link.

--- a/crates/audit/src/service.rs
+++ b/crates/audit/src/service.rs
@@ -72,6 +72,8 @@
     pub classes: BTreeMap<String, Shares>,
     /// By publisher.
     pub publishers: BTreeMap<String, Shares>,
+    /// By publisher and protocol, where there are two: a text client's name begins with `<`.
+    pub protocols: BTreeMap<String, Shares>,
     /// The worst 10 s, by when calls were offered.
     pub worst_window: f64,
     /// Calls that stood and were cut.
@@ -155,7 +157,9 @@
         }
     }
     let mut windows: BTreeMap<u64, Shares> = BTreeMap::new();
-    for outcome in calls.values() {
+    let both =
+        calls.keys().any(|name| name.starts_with('<')) && calls.keys().any(|name| !name.starts_with('<'));
+    for (name, outcome) in &calls {
         let Some(class) = classes.get(outcome.class) else { continue };
         let offered = class.worth * if outcome.hot { class.hot_worth } else { 1.0 };
         let earned = match outcome.stood.filter(|_| !outcome.cut) {
@@ -167,6 +171,11 @@
         seen.classes.entry(class.name.clone()).or_default().add(offered, earned);
         let publisher = publishers.get(outcome.publisher).map_or("other", String::as_str);
         seen.publishers.entry(publisher.into()).or_default().add(offered, earned);
+        if both {
+            let protocol = if name.starts_with('<') { "text" } else { "diameter" };
+            let key = format!("{publisher}, {protocol}");
+            seen.protocols.entry(key).or_default().add(offered, earned);
+        }
         windows.entry(outcome.at / WINDOW.0).or_default().add(offered, earned);
     }
     let full = windows.values().filter(|shares| shares.calls >= WINDOW.1);
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -31,6 +31,9 @@
     /// Plain round robin instead of the decision module, for comparison.
     #[arg(long)]
     round_robin: bool,
+    /// Text clients heed notices of overload.
+    #[arg(long)]
+    heeds: bool,
     /// Writes the record here, for `baydrift audit`.
     #[arg(long)]
     record: Option<PathBuf>,
@@ -49,6 +52,7 @@
     };
     day.seconds = args.seconds.unwrap_or(day.seconds);
     day.seed = args.seed.unwrap_or(day.seed);
+    day.heeds |= args.heeds;
     if args.round_robin {
         day.policy = Policy::RoundRobin;
     }
--- a/crates/day/src/bench.rs
+++ b/crates/day/src/bench.rs
@@ -167,6 +167,7 @@
         again: 0.0,
         text: 0.0,
         datagrams_lost: 0.0,
+        heeds: false,
         servers: Servers {
             rates: file.servers.iter().map(|s| scale * s.speed / work_s).collect(),
             release,
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -88,7 +88,10 @@
         );
     }
     let _ = writeln!(text, "client \"callers{ordinal}.test\" realm=\"test\" connections={CONNECTIONS}");
-    let _ = writeln!(text, "text-client \"<text{ordinal}.test>\" realm=\"test\"\ntext udp=\"127.0.0.1:0\"");
+    text.push_str("text udp=\"127.0.0.1:0\"\n");
+    for publisher in 0..day.publishers.len() {
+        let _ = writeln!(text, "text-client \"{}\" realm=\"test\"", text_mid(ordinal, publisher));
+    }
     for (number, addr) in servers.iter().enumerate() {
         let host = host_of(number);
         let _ = writeln!(text, "server \"{host}\" realm=\"core.test\" number={number} addr=\"{addr}\"");
@@ -100,6 +103,10 @@
     text
 }
 
+fn text_mid(ordinal: u32, publisher: usize) -> String {
+    format!("<p{publisher}.text{ordinal}.test>")
+}
+
 fn host_of(number: usize) -> String {
     format!("s{number}.core.test")
 }
@@ -233,28 +240,40 @@
 
     // Server links come up before the first call does.
     tokio::time::sleep(Duration::from_millis(200)).await;
-    let usual =
-        Offers { redials: day.redials, redial_wait: day.redial_wait, again: day.again, ..Offers::default() };
+    let usual = Offers {
+        redials: day.redials,
+        redial_wait: day.redial_wait,
+        again: day.again,
+        heeds: day.heeds,
+        ..Offers::default()
+    };
     let (mut callers, mut texts, mut offers) = (Vec::new(), Vec::new(), Vec::new());
     for (ordinal, front) in fronts.iter().enumerate() {
         let (tell, told) = watch::channel(usual.clone());
         let spec = caller_spec(day, ordinal as u32, front.addrs.diameter);
         let seed = day.seed * 10_000 + ordinal as u64;
-        if let Some(addr) = front.addrs.text_udp.filter(|_| day.text > 0.0) {
-            // Text goes by a relay that loses datagrams. The front knows the client by the relay's address.
+        let text_addr = front.addrs.text_udp.filter(|_| day.text > 0.0);
+        for (publisher, addr) in
+            (0..day.publishers.len()).filter_map(|publisher| Some((publisher, text_addr?)))
+        {
+            // Each publisher has a client of its own. Text goes by a relay that loses datagrams; the front knows
+            // the client by the relay's address.
+            let seed = seed + 5_000 + 100 * publisher as u64;
             let relay = Datagrams::start(seed).await?;
+            let mut flows = scaled(&spec.flows, day.text);
+            flows.retain(|flow| flow.publisher == publisher);
             let spec = TextSpec {
-                mid: format!("<text{ordinal}.test>"),
+                mid: text_mid(ordinal as u32, publisher),
                 front: (ordinal as u32, relay.addr),
                 servers: spec.servers.clone(),
-                flows: scaled(&spec.flows, day.text),
+                flows,
             };
             relay.to(addr);
             relay.lose(day.datagrams_lost);
             if day.datagrams_lost > 0.0 {
                 recorder.put(Moment::Lossy { client: spec.mid.clone() });
             }
-            texts.push((TextCaller::start(spec, told.clone(), recorder.clone(), seed + 5_000).await?, relay));
+            texts.push((TextCaller::start(spec, told.clone(), recorder.clone(), seed).await?, relay));
         }
         let spec = CallerSpec { flows: scaled(&spec.flows, 1.0 - day.text), ..spec };
         callers.push(Caller::start(spec, told, recorder.clone(), seed));
@@ -514,7 +533,8 @@
             What::LinkDown { server } => self.link(*server, Fault { down: true, ..Fault::default() }),
             // Only the way back: what the front sent is then timed at the server as it was sent.
             What::LinkStalled { server } => {
-                self.link(*server, Fault { stalled_back: true, ..Fault::default() })
+                self.link(*server, Fault { stalled_back: true, ..Fault::default() });
+                self.each_front(|front| Moment::Mute { server: *server as u16, front });
             }
             What::Burst { factor } => self.offers(|offers| offers.factor = *factor),
             What::Hot { share } => self.offers(|offers| offers.hot = *share),
@@ -531,6 +551,9 @@
                 });
             }
             What::ListLag { lag } => self.lag = *lag,
+            What::Flood { publisher, factor } => {
+                self.offers(|offers| offers.flood = Some((*publisher, *factor)))
+            }
             What::MessagesLost { share } => self.relays.iter().for_each(|relay| relay.lose(*share)),
         }
         then.push((over, Then::End(what.clone())));
@@ -549,6 +572,7 @@
             }
             What::Burst { .. } => self.offers(|offers| offers.factor = 1.0),
             What::Hot { .. } => self.offers(|offers| offers.hot = 0.0),
+            What::Flood { .. } => self.offers(|offers| offers.flood = None),
             What::MessagesLost { .. } => self.relays.iter().for_each(|relay| relay.lose(0.0)),
             What::Redials { .. } => {
                 let (times, wait) = (self.usual.redials, self.usual.redial_wait);
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -43,6 +43,8 @@
     pub text: f64,
     /// Share of datagrams of text that are lost, each way.
     pub datagrams_lost: f64,
+    /// Whether text clients heed notices of overload.
+    pub heeds: bool,
     /// Servers.
     pub servers: Servers,
     /// Classes.
@@ -147,6 +149,7 @@
     Stall { front: usize },
     ListLag { lag: Micros },
     MessagesLost { share: f64 },
+    Flood { publisher: usize, factor: f64 },
 }
 
 /// Reads a script.
@@ -168,6 +171,7 @@
         again: 0.0,
         text: 0.0,
         datagrams_lost: 0.0,
+        heeds: false,
         servers: Servers::default(),
         classes: Vec::new(),
         publishers: Vec::new(),
@@ -290,6 +294,7 @@
     day.redial_wait = node.time("redial-wait", MS..=HOUR).unwrap_or(day.redial_wait);
     day.again = node.number("again", 0.0..=1.0).unwrap_or(day.again);
     day.text = node.number("text", 0.0..=1.0).unwrap_or(day.text);
+    day.heeds = node.flag("heeds").unwrap_or(false);
     day.datagrams_lost = node.number("datagrams-lost", 0.0..=0.9).unwrap_or(day.datagrams_lost);
 }
 
@@ -343,6 +348,10 @@
         "reconnect" => What::Reconnect { front: front() },
         "stall" => What::Stall { front: front() },
         "list-lag" => What::ListLag { lag: node.time("lag", 0..=HOUR).unwrap_or(10 * S) },
+        "flood" => {
+            let publisher = node.whole("publisher", 0..=255).unwrap_or(0) as usize;
+            What::Flood { publisher, factor: factor() }
+        }
         "messages-lost" => What::MessagesLost { share: share() },
         other => {
             node.wrong(format!("no trouble or setting is called {other}"), None);
--- a/crates/day/src/table.rs
+++ b/crates/day/src/table.rs
@@ -51,6 +51,7 @@
     row("whole", &service.whole);
     service.classes.iter().for_each(|(name, shares)| row(&format!("class {name}"), shares));
     service.publishers.iter().for_each(|(name, shares)| row(&format!("publisher {name}"), shares));
+    service.protocols.iter().for_each(|(name, shares)| row(name, shares));
     let _ = writeln!(text, "  {:<24} {:>8} {:>9.3}", "worst 10 s", "", service.worst_window);
     let l = &service.latency;
     let _ = writeln!(
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -51,13 +51,26 @@
     pub redials: u32,
     /// Mean wait before a redial.
     pub redial_wait: Micros,
+    /// A publisher whose text clients call so many times as often.
+    pub flood: Option<(usize, f64)>,
+    /// Whether text clients ask for notices of overload, and heed them.
+    pub heeds: bool,
     /// The connection is closed once, whenever this changes, and opened again.
     pub reconnects: u32,
 }
 
 impl Default for Offers {
     fn default() -> Self {
-        Self { factor: 1.0, hot: 0.0, again: 0.0, redials: 2, redial_wait: 1_000_000, reconnects: 0 }
+        Self {
+            factor: 1.0,
+            hot: 0.0,
+            again: 0.0,
+            redials: 2,
+            redial_wait: 1_000_000,
+            flood: None,
+            heeds: false,
+            reconnects: 0,
+        }
     }
 }
 
--- a/crates/standin/src/text.rs
+++ b/crates/standin/src/text.rs
@@ -64,6 +64,8 @@
             due: BTreeMap::new(),
             count: 0,
             order: 0,
+            throttle: 1.0,
+            throttled_at: 0,
         };
         Ok(Self { _task: tokio::spawn(office.run(socket)) })
     }
@@ -95,8 +97,16 @@
     due: BTreeMap<(Micros, u64), Due>,
     count: u64,
     order: u64,
+    /// What is left of the rate after notices of overload.
+    throttle: f64,
+    throttled_at: Micros,
 }
 
+/// Each notice takes this much of the rate; it comes back by `RECOVERS` in each `STEP`.
+const TAKES: f64 = 0.8;
+const RECOVERS: f64 = 1.02;
+const STEP: Micros = 100_000;
+
 impl Office {
     async fn run(mut self, socket: UdpSocket) {
         let mut dos = Vec::new();
@@ -106,6 +116,8 @@
         if let Some(id) = self.exchange.send(now, hello, &mut dos) {
             self.asked.insert(id, Asked::Register);
         }
+        let events = |id| format!("!/1 {mid} T={id}{{C=-{{MF=ROOT{{E=1{{ocp/mg_overload}}}}}}}}");
+        let mut asks = self.offers.borrow().heeds;
         let mut buffer = vec![0u8; 65_536];
         let mut registered = false;
         loop {
@@ -133,6 +145,10 @@
                     };
                     let text = String::from_utf8_lossy(&buffer[..size]).into_owned();
                     registered |= self.heard(&text, &mut dos);
+                    if registered && std::mem::take(&mut asks) {
+                        let sent = self.exchange.send(self.recorder.now(), events, &mut dos);
+                        self.asked.extend(sent.map(|id| (id, Asked::Release)));
+                    }
                 }
                 () = tokio::time::sleep(wait) => {
                     let now = self.recorder.now();
@@ -160,9 +176,16 @@
     }
 
     fn act(&mut self, now: Micros, dos: &mut Vec<Do>) {
-        let factor = self.offers.borrow_and_update().factor;
+        let Offers { factor, flood, heeds, .. } = self.offers.borrow_and_update().clone();
+        if now >= self.throttled_at + STEP {
+            self.throttled_at = now;
+            self.throttle = (self.throttle * RECOVERS).min(1.0);
+        }
+        let throttle = if heeds { self.throttle } else { 1.0 };
         for flow in 0..self.spec.flows.len() {
-            let rate = self.spec.flows[flow].rate * factor;
+            let publisher = self.spec.flows[flow].publisher;
+            let flooding = flood.filter(|(who, _)| *who == publisher).map_or(1.0, |(_, times)| times);
+            let rate = self.spec.flows[flow].rate * factor * flooding * throttle;
             if rate <= 0.0 {
                 self.next[flow] = now + 100_000;
                 continue;
@@ -287,6 +310,11 @@
                     let before = dos.len();
                     self.exchange.heard(now, Heard::Request(id), dos);
                     if dos[before..].contains(&Do::Execute(id)) {
+                        let mut notified =
+                            actions.iter().flat_map(|a| &a.commands).flat_map(|c| &c.descriptors);
+                        if notified.any(|d| d.find("ocp/mg_overload", "").is_some()) {
+                            self.throttle = (self.throttle * TAKES).max(0.01);
+                        }
                         let context = actions.first().map(|action| action.context);
                         if let Some(baydrift_h248::Context::Id(context)) = context {
                             if let Some((call, flow)) = self.standing.remove(&context) {
