--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -31,6 +31,9 @@
     /// Plain round robin instead of the decision module, for comparison.
     #[arg(long)]
     round_robin: bool,
+    /// Another share of calls by H.248 text than the script's.
+    #[arg(long)]
+    text: Option<f64>,
     /// Text clients heed notices of overload.
     #[arg(long)]
     heeds: bool,
@@ -53,6 +56,7 @@
     day.seconds = args.seconds.unwrap_or(day.seconds);
     day.seed = args.seed.unwrap_or(day.seed);
     day.heeds |= args.heeds;
+    day.text = args.text.unwrap_or(day.text).clamp(0.0, 1.0);
     if args.round_robin {
         day.policy = Policy::RoundRobin;
     }
--- a/crates/desk/src/commands.rs
+++ b/crates/desk/src/commands.rs
@@ -143,6 +143,16 @@
             .filter(|(_, client)| client.exchange.due().is_some_and(|at| at <= now))
             .map(|(link, _)| *link)
             .collect();
+        let left =
+            self.text.clients.iter().filter(|(_, client)| client.leaves_at.is_some_and(|at| at <= now));
+        let left: Vec<_> = left.map(|(link, client)| (*link, client.mid.clone())).collect();
+        for (link, owner) in left {
+            if let Some(client) = self.text.clients.get_mut(&link) {
+                (client.registered, client.leaving, client.leaves_at) = (false, false, None);
+            }
+            self.text.forget_work(link);
+            self.engine(now, Input::ClientUp { link, owner, restarted: true }, out);
+        }
         for link in due {
             let mut dos = Vec::new();
             if let Some(client) = self.text.clients.get_mut(&link) {
@@ -488,9 +498,14 @@
         let restarted = is("Restart", "RS");
         let leaves = is("Forced", "FO");
         if is("Graceful", "GR") {
+            // Without a delay its calls end when they end (RFC 3525, section 7.2.8).
+            let delay = services.and_then(|services| services.find("Delay", "DL")).and_then(Item::text);
+            let delay =
+                delay.and_then(|seconds| seconds.parse::<Micros>().ok()).filter(|seconds| *seconds > 0);
             client.leaving = true;
+            client.leaves_at = delay.map(|seconds| now.saturating_add(seconds.saturating_mul(1_000_000)));
         } else if restarted || leaves {
-            (client.registered, client.leaving) = (!leaves, false);
+            (client.registered, client.leaving, client.leaves_at) = (!leaves, false, None);
             client.overload = None;
             // Its ids start anew: an old reply must not answer a new request.
             client.exchange.restart(id);
@@ -499,7 +514,7 @@
             self.text.jobs.extend(job.map(|job| ((link, id), job)));
             self.engine(now, Input::ClientUp { link, owner, restarted: true }, out);
         } else if is("Disconnected", "DC") || is("Handoff", "HO") || is("Failover", "FL") {
-            (client.registered, client.leaving) = (true, false);
+            (client.registered, client.leaving, client.leaves_at) = (true, false, None);
             self.engine(now, Input::ClientUp { link, owner, restarted: false }, out);
         } else {
             return no(code::UNKNOWN_VALUE, "no such method of ServiceChange");
--- a/crates/desk/src/text.rs
+++ b/crates/desk/src/text.rs
@@ -33,6 +33,8 @@
     pub(crate) registered: bool,
     /// It leaves: nothing new is taken.
     pub(crate) leaving: bool,
+    /// It leaves in grace: by then what it still has is released.
+    pub(crate) leaves_at: Option<Micros>,
     pub(crate) exchange: Exchange,
     pub(crate) heard_at: Micros,
     /// It asked for `ocp/mg_overload`, with this RequestID.
@@ -146,6 +148,7 @@
             realm: realm.clone(),
             registered: false,
             leaving: false,
+            leaves_at: None,
             exchange: Exchange::new(settings, self.seed ^ link.0),
             heard_at: now,
             overload: None,
--- a/crates/desk/tests/text.rs
+++ b/crates/desk/tests/text.rs
@@ -334,6 +334,15 @@
     w.a("T=3{C=-{SC=ROOT{SV{MT=GR,DL=5}}}}");
     assert_eq!(errors(&w.a(&add(4))[0]), [510]);
     assert_eq!(w.desk.held().calls, 1);
+    // Its grace is over: what it has is released, and it has to register anew.
+    w.pass(5_100 * MS);
+    assert_eq!(w.desk.held().calls, 0);
+    w.answer(result::SUCCESS);
+    assert_eq!(errors(&w.a(&add(5))[0]), [505]);
+    w.a("T=6{C=-{SC=ROOT{SV{MT=DC}}}}");
+    w.a(&add(7));
+    w.answer(result::SUCCESS);
+    assert_eq!(w.desk.held().calls, 1);
     w.hear(DeskInput::TextGone(A));
     w.pass(31_000 * MS);
     w.answer(result::SUCCESS);
