One agenda for callers of both protocols, one accept loop for bounded listeners

Need: the text side had written again what the Diameter side had: arrivals, choices, timers, and a loop that accepts while there is room. Change: standin/agenda.rs and link::accept serve both; the fuzz target skips pretty texts that outgrow the bound.

--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -1,11 +1,14 @@
 //! Writing to a peer with a bound on its patience, and reading from one that may not be there.
 
 use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use baydrift_diameter::{Codec, Frame, Message, StreamError};
 use futures_util::{FutureExt, SinkExt, StreamExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio_util::codec::Framed;
 
 /// A connection as messages.
@@ -21,6 +24,26 @@
     Framed::new(stream, Codec { max_message })
 }
 
+/// The next connection once there is room for it; `None` when the front stops. Its permit is its room.
+pub(crate) async fn accept(
+    listener: &TcpListener,
+    room: &Arc<Semaphore>,
+    closing: &mut watch::Receiver<bool>,
+) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
+    let permit = room.clone().acquire_owned().await.ok()?;
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|closing| *closing) => return None,
+        };
+        match accepted {
+            Ok((stream, addr)) => return Some((stream, addr, permit)),
+            // Out of descriptors or the like: it may pass, and must not spin.
+            Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+        }
+    }
+}
+
 /// Queues a message; it is out after [`flush`].
 pub(crate) async fn feed(wire: &mut Wire, message: Message, patience: Duration) -> Result<(), StreamError> {
     in_time(patience, wire.feed(message)).await
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -18,6 +18,7 @@
 use tracing::{debug, warn};
 
 use crate::core::ToCore;
+use crate::link::accept;
 use crate::Shared;
 
 /// Connections of list services at once; more wait.
@@ -66,16 +67,7 @@
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let room = Arc::new(Semaphore::new(CONNECTIONS));
     let mut closing = shared.closing.clone();
-    loop {
-        let Ok(permit) = room.clone().acquire_owned().await else { return };
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = closing.wait_for(|closing| *closing) => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            continue;
-        };
+    while let Some((stream, _, permit)) = accept(&listener, &room, &mut closing).await {
         let shared = shared.clone();
         tokio::spawn(async move {
             let service = service_fn(|request| answer(&shared, request));
--- a/crates/front/src/text.rs
+++ b/crates/front/src/text.rs
@@ -16,6 +16,7 @@
 use tracing::{debug, info, warn};
 
 use crate::core::ToCore;
+use crate::link::accept;
 use crate::Shared;
 
 /// Links of text clients are numbered from here, those of Diameter clients below.
@@ -103,16 +104,7 @@
 pub(crate) async fn packets(shared: Arc<Shared>, listener: TcpListener) {
     let room = Arc::new(Semaphore::new(CONNECTIONS));
     let mut closing = shared.closing.clone();
-    loop {
-        let Ok(permit) = room.clone().acquire_owned().await else { return };
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = closing.wait_for(|closing| *closing) => return,
-        };
-        let Ok((stream, addr)) = accepted else {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            continue;
-        };
+    while let Some((stream, addr, permit)) = accept(&listener, &room, &mut closing).await {
         let shared = shared.clone();
         tokio::spawn(async move {
             let link = next_link();
--- a/crates/h248/examples/fuzz.rs
+++ b/crates/h248/examples/fuzz.rs
@@ -81,6 +81,10 @@
                 good += 1;
                 for style in [Style::Compact, Style::Pretty] {
                     let written = message.write(style);
+                    // Pretty text is longer: what is too long is refused by its length, and says nothing here.
+                    if written.len() > TEXT_MAX {
+                        continue;
+                    }
                     assert_eq!(parse(&written).as_ref(), Ok(&message), "seed {seed}, text {count}: {text:?}");
                 }
             }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,5 +1,6 @@
 //! What stands around a front on loopback, written from public specifications, seeded, and recorded.
 
+mod agenda;
 mod caller;
 mod link;
 mod list;
