--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -10,6 +10,6 @@
 mod rules;
 mod service;
 
-pub use record::{read_record, Line, Moment, RecordError, Recorder};
+pub use record::{read_record, write_record, Line, Moment, RecordError, Recorder};
 pub use rules::{rules, Breach, Terms, Verdict, SLACK};
 pub use service::{service, ClassTerms, Latency, Service, Shares};
--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -103,19 +103,19 @@
     pub fn lines(&self) -> Vec<Line> {
         self.lines.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
     }
+}
 
-    /// Writes all lines.
-    ///
-    /// # Errors
-    /// Those of the writer.
-    pub fn write(&self, to: impl Write) -> std::io::Result<()> {
-        let mut to = std::io::BufWriter::new(to);
-        for line in self.lines() {
-            serde_json::to_writer(&mut to, &line)?;
-            to.write_all(b"\n")?;
-        }
-        to.flush()
+/// Writes a record, a line of JSON for each moment.
+///
+/// # Errors
+/// Those of the writer.
+pub fn write_record(lines: &[Line], to: impl Write) -> std::io::Result<()> {
+    let mut to = std::io::BufWriter::new(to);
+    for line in lines {
+        serde_json::to_writer(&mut to, line)?;
+        to.write_all(b"\n")?;
     }
+    to.flush()
 }
 
 /// Why a record cannot be read.
--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -1,6 +1,6 @@
 //! Each check catches a planted breach, and a clean record passes all.
 
-use baydrift_audit::{read_record, rules, service, ClassTerms, Line, Moment, Recorder, Terms};
+use baydrift_audit::{read_record, rules, service, write_record, ClassTerms, Line, Moment, Recorder, Terms};
 
 const MS: u64 = 1_000;
 const NONE: [u8; 0] = [];
@@ -182,7 +182,7 @@
     recorder.put(offer("c|1"));
     recorder.put(Moment::Mute { server: 3, front: 1 });
     let mut bytes = Vec::new();
-    recorder.write(&mut bytes).unwrap();
+    write_record(&recorder.lines(), &mut bytes).unwrap();
     assert_eq!(read_record(&bytes[..]).unwrap(), recorder.lines());
     bytes.extend_from_slice(b"{\"at\":1,\"moment\":\"dance\"}\n");
     let error = read_record(&bytes[..]).unwrap_err().to_string();
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use baydrift_audit::{read_record, rules, Terms};
+use baydrift_audit::{read_record, rules, write_record, Terms};
 use baydrift_day::{Day, Policy};
 use indicatif::{ProgressBar, ProgressStyle};
 use miette::{IntoDiagnostic, WrapErr};
@@ -82,11 +82,7 @@
     if let Some(path) = &args.record {
         let file =
             std::fs::File::create(path).into_diagnostic().wrap_err_with(|| path.display().to_string())?;
-        let mut to = std::io::BufWriter::new(file);
-        for line in &outcome.lines {
-            serde_json::to_writer(&mut to, line).into_diagnostic()?;
-            std::io::Write::write_all(&mut to, b"\n").into_diagnostic()?;
-        }
+        write_record(&outcome.lines, file).into_diagnostic().wrap_err_with(|| path.display().to_string())?;
     }
     let policy = if day.policy == Policy::RoundRobin { "round robin" } else { "baydrift" };
     println!(
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -68,8 +68,7 @@
             );
             let up = ToCore::ClientUp(link, opened.clone(), to_link);
             if shared.core.send(up).await.is_ok() {
-                let mut client =
-                    Client { shared, wire, link, peer, out: Vec::new(), from_core, stopping: false };
+                let mut client = Client { shared, wire, link, peer, out: Vec::new(), from_core };
                 let why = client.serve(cer).await;
                 ended(link, &opened, why);
                 let _ = shared.core.send(ToCore::Desk(DeskInput::ClientDown(link))).await;
@@ -97,7 +96,6 @@
     peer: Peer,
     out: Vec<PeerOutput>,
     from_core: mpsc::Receiver<ToLink>,
-    stopping: bool,
 }
 
 impl Client<'_> {
@@ -149,7 +147,6 @@
                     self.feed(message).await?;
                 }
                 Some(ToLink::Stop) => {
-                    self.stopping = true;
                     self.give(PeerInput::Stop(cause::REBOOTING)).await?;
                 }
                 Some(ToLink::Request(..)) | None => return Ok(()),
