--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -69,6 +69,12 @@
     Stall { front: u32, us: u64 },
     /// A client's transport loses messages: an answer given in time may be read late.
     Lossy { client: String },
+    /// A caller's request goes under this transaction, by a transport that may lose it.
+    Asks { call: String, transaction: u32 },
+    /// A datagram with a client's request, or with a reply to it, was carried or lost.
+    Datagram { client: String, to_front: bool, transaction: u32, lost: bool },
+    /// The record ends here, whole.
+    End,
     /// A front's process is killed.
     Killed { front: u32 },
 }
@@ -105,7 +111,7 @@
     }
 }
 
-/// Writes a record, a line of JSON for each moment.
+/// Writes a record, a line of JSON for each moment, and a last one that says that it is whole.
 ///
 /// # Errors
 /// Those of the writer.
@@ -115,6 +121,11 @@
         serde_json::to_writer(&mut to, line)?;
         to.write_all(b"\n")?;
     }
+    if lines.last().is_none_or(|line| line.moment != Moment::End) {
+        let at = lines.last().map_or(0, |line| line.at);
+        serde_json::to_writer(&mut to, &Line { at, moment: Moment::End })?;
+        to.write_all(b"\n")?;
+    }
     to.flush()
 }
 
@@ -137,6 +148,17 @@
         /// Why.
         error: serde_json::Error,
     },
+    /// There is no call in it: nothing was shown.
+    #[error("the record is empty: it shows no call, and so no rule kept")]
+    Empty,
+    /// Its last line is not there.
+    #[error(
+        "the record is truncated after line {line}: its last line, which says that it is whole, is missing"
+    )]
+    Truncated {
+        /// From 1.
+        line: usize,
+    },
     /// A line is earlier than the one before.
     #[error("line {line}: earlier than the line before")]
     Order {
@@ -148,7 +170,7 @@
 /// Reads a record.
 ///
 /// # Errors
-/// The first line that is none, or out of order.
+/// The first line that is none, or out of order; a record that is empty, or not whole.
 pub fn read_record(from: impl BufRead) -> Result<Vec<Line>, RecordError> {
     let mut lines: Vec<Line> = Vec::new();
     for (index, text) in from.lines().enumerate() {
@@ -163,5 +185,12 @@
         }
         lines.push(next);
     }
-    Ok(lines)
+    match lines.pop() {
+        None => Err(RecordError::Empty),
+        Some(Line { moment: Moment::End, .. }) => {
+            let calls = lines.iter().any(|line| matches!(line.moment, Moment::Offer { .. }));
+            calls.then_some(lines).ok_or(RecordError::Empty)
+        }
+        Some(_) => Err(RecordError::Truncated { line: lines.len() + 1 }),
+    }
 }
--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -654,13 +654,16 @@
         });
     }
 
-    /// Releases an attempt now, or as soon as its server's link is up. `owed`: the module hears of its end
+    /// Releases an attempt now, or as soon as its server has a link. `owed`: the module hears of its end
     /// only then, as that of a call that ended well.
+    ///
+    /// A suspect link still has its transport, and is told: else a server that only seemed dead would hold the
+    /// attempt, or set it up, beside the next one (rule 2 as sockets show it).
     fn release(&mut self, id: AttemptId, owed: bool, out: &mut Vec<Output<P>>) {
         let Some(attempt) = self.attempts.get_mut(&id) else { return };
         attempt.stage = Stage::Releasing { owed };
         let Attempt { server, class, .. } = *attempt;
-        if matches!(self.pool.link_state(server), LinkState::Up(_)) {
+        if self.pool.link_state(server) != LinkState::Down {
             self.timers.set(self.now.saturating_add(self.limits.release_timeout), Timer::Release(id));
             self.counts.releases += 1;
             out.push(Output::Release { attempt: id, server, class });
@@ -691,6 +694,18 @@
         self.remove_attempt(id);
     }
 
+    /// A release went unanswered: the server is slow or gone. On this link it is not said again; where the link
+    /// is suspect it may never have been read, and is said again once that is up.
+    fn release_unanswered(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(&id).copied() else { return };
+        if matches!(attempt.stage, Stage::Releasing { .. }) {
+            self.release_done(id, Report::default());
+            if self.pool.link_state(attempt.server) == LinkState::Suspect {
+                self.keep_orphan(attempt.server, Orphan { attempt: id, class: attempt.class });
+            }
+        }
+    }
+
     /// Tells the module that a call that stood is over.
     fn end_owed(&mut self, id: AttemptId, report: Report) {
         if let Some(attempt) = self.attempts.get(&id).copied() {
@@ -796,8 +811,8 @@
         for id in self.attempts_at(server) {
             match self.attempts.get(&id).map(|a| a.stage) {
                 Some(Stage::Out) => self.give_up_attempt(id, AttemptEnd::plain(outcome), false, out),
-                // Its release went down with the link, or is not answered: it is said again.
-                Some(Stage::Releasing { owed }) => self.release(id, owed, out),
+                // Its release may have gone down with the link: it is said again on the next.
+                Some(Stage::Releasing { owed }) if outcome == Outcome::Reset => self.release(id, owed, out),
                 _ => {}
             }
         }
@@ -854,12 +869,7 @@
                     }
                 }
                 Timer::Deadline(id) => self.deadline(id, out),
-                Timer::Release(id) => {
-                    // Unanswered: the server is slow or gone. It is not said again on this link.
-                    if self.attempts.get(&id).is_some_and(|a| matches!(a.stage, Stage::Releasing { .. })) {
-                        self.release_done(id, Report::default());
-                    }
-                }
+                Timer::Release(id) => self.release_unanswered(id),
                 Timer::Away(id) => self.away(id, out),
                 Timer::Orphans => self.release_orphans(out),
             }
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -1,10 +1,13 @@
 //! `baydrift day` and `baydrift audit`.
 
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
 
 use baydrift_audit::{read_record, rules, write_record, Terms};
-use baydrift_day::{Day, Policy};
+use baydrift_day::{Day, Outcome, Policy};
 use indicatif::{ProgressBar, ProgressStyle};
 use miette::{IntoDiagnostic, WrapErr};
 
@@ -37,9 +40,18 @@
     /// Text clients heed notices of overload.
     #[arg(long)]
     heeds: bool,
-    /// Writes the record here, for `baydrift audit`.
+    /// Writes the record here, for `baydrift audit`. A day that breaks a rule always keeps its record.
     #[arg(long)]
     record: Option<PathBuf>,
+    /// Plays it in virtual time, without sockets: the same seed gives the same record, to the byte.
+    #[arg(long = "virtual")]
+    in_virtual_time: bool,
+    /// Plays so many seeds, from the day's own on, on all cores; only with --virtual.
+    #[arg(long, requires = "in_virtual_time", default_value_t = 1)]
+    seeds: u64,
+    /// Troubles drawn by the seed instead of the script's.
+    #[arg(long)]
+    drawn: bool,
 }
 
 fn load(args: &Args) -> miette::Result<Day> {
@@ -63,27 +75,180 @@
     Ok(day)
 }
 
+/// The day that is played with a seed.
+fn of_seed(args: &Args, day: &Day, seed: u64) -> Day {
+    let day = Day { seed, ..day.clone() };
+    if args.drawn {
+        baydrift_day::drawn(&day)
+    } else {
+        day
+    }
+}
+
+/// How to play a day again.
+fn again(args: &Args, day: &Day) -> String {
+    let mut words = vec!["baydrift day".to_owned()];
+    words.extend(args.script.iter().map(|path| path.display().to_string()));
+    words.extend(args.from_bench.iter().map(|path| format!("--from-bench {}", path.display())));
+    words.extend(args.calls_per_second.map(|rate| format!("--calls-per-second {rate}")));
+    words.extend(args.seconds.map(|seconds| format!("--seconds {seconds}")));
+    words.extend(args.text.map(|share| format!("--text {share}")));
+    if args.from_bench.is_some() {
+        words.push(format!("--fronts {}", args.fronts));
+    }
+    let flags = [
+        (args.round_robin, "--round-robin"),
+        (args.heeds, "--heeds"),
+        (args.drawn, "--drawn"),
+        (args.in_virtual_time, "--virtual"),
+    ];
+    words.extend(flags.iter().filter(|(set, _)| *set).map(|(_, word)| (*word).to_owned()));
+    words.push(format!("--seed {}", day.seed));
+    words.join(" ")
+}
+
+/// Keeps the record where it was asked for, or where a rule broke; tells where, and how to play the day again.
+fn keep(args: &Args, day: &Day, outcome: &Outcome) -> miette::Result<()> {
+    let kept = outcome.verdict.kept();
+    let path = match &args.record {
+        Some(path) if args.seeds == 1 => path.clone(),
+        _ if kept => return Ok(()),
+        _ => {
+            let name = args.script.as_deref().and_then(Path::file_stem).unwrap_or("day".as_ref());
+            let name =
+                format!("baydrift-{}-{}-{}.jsonl", name.to_string_lossy(), day.seed, std::process::id());
+            std::env::temp_dir().join(name)
+        }
+    };
+    let file = std::fs::File::create(&path).into_diagnostic().wrap_err_with(|| path.display().to_string())?;
+    write_record(&outcome.lines, file).into_diagnostic().wrap_err_with(|| path.display().to_string())?;
+    if !kept {
+        println!(
+            "  a rule broke: seed {}; the record is {}; again with: {}",
+            day.seed,
+            path.display(),
+            again(args, day)
+        );
+    }
+    Ok(())
+}
+
+/// Many seeds, each in virtual time; the worst is what counts.
+fn net(args: &Args, day: &Day) -> miette::Result<ExitCode> {
+    let bar = ProgressBar::new(args.seeds);
+    if let Ok(style) = ProgressStyle::with_template("{elapsed} [{bar:30}] {pos}/{len} seeds, {eta} left") {
+        bar.set_style(style);
+    }
+    let next = AtomicU64::new(day.seed);
+    let end = day.seed + args.seeds;
+    let sum = Mutex::new(Net::default());
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    let began = std::time::Instant::now();
+    let failed = std::thread::scope(|scope| {
+        let work = || -> miette::Result<()> {
+            loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= end {
+                    return Ok(());
+                }
+                let day = of_seed(args, day, seed);
+                let outcome = baydrift_day::run_virtual(&day, |_, _| {}).into_diagnostic()?;
+                let mut sum = sum.lock().unwrap_or_else(PoisonError::into_inner);
+                sum.add(&outcome);
+                if !outcome.verdict.kept() {
+                    keep(args, &day, &outcome)?;
+                    print!("{}", baydrift_day::table(&outcome.verdict, &outcome.service));
+                }
+                bar.inc(1);
+            }
+        };
+        let all: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
+        all.into_iter().find_map(|thread| thread.join().ok()?.err())
+    });
+    bar.finish_and_clear();
+    if let Some(error) = failed {
+        return Err(error);
+    }
+    let sum = sum.into_inner().unwrap_or_else(PoisonError::into_inner);
+    println!("{sum}, in {:.0} s on {threads} threads", began.elapsed().as_secs_f64());
+    Ok(if sum.broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// What many days came to.
+#[derive(Default)]
+struct Net {
+    days: u64,
+    broken: u64,
+    calls: usize,
+    answered: usize,
+    set_ups: usize,
+    held_back: u64,
+    excused: BTreeMap<&'static str, usize>,
+    service: f64,
+    worst: Option<f64>,
+}
+
+impl Net {
+    fn add(&mut self, outcome: &Outcome) {
+        let verdict = &outcome.verdict;
+        self.days += 1;
+        self.broken += u64::from(!verdict.kept());
+        self.calls += verdict.calls;
+        self.answered += verdict.answered;
+        self.set_ups += verdict.set_ups;
+        self.held_back += outcome.fronts.iter().flat_map(|f| &f.held_back).map(|(_, n)| n).sum::<u64>();
+        for (why, count) in &verdict.excused {
+            *self.excused.entry(why.name()).or_default() += count;
+        }
+        let service = outcome.service.whole.service();
+        self.service += service;
+        self.worst = Some(self.worst.map_or(service, |worst| worst.min(service)));
+    }
+}
+
+impl std::fmt::Display for Net {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let mean = self.service / self.days.max(1) as f64;
+        write!(
+            f,
+            "{} days in virtual time, {} with a rule broken: {} calls, {} answered, {} set-ups, {} held back; \
+             excused {:?}; service {mean:.3} on average, {:.3} at worst",
+            self.days,
+            self.broken,
+            self.calls,
+            self.answered,
+            self.set_ups,
+            self.held_back,
+            self.excused,
+            self.worst.unwrap_or(1.0)
+        )
+    }
+}
+
 pub async fn run(args: Args) -> miette::Result<ExitCode> {
     let day = load(&args)?;
+    if args.in_virtual_time && args.seeds != 1 {
+        return net(&args, &day);
+    }
+    let day = of_seed(&args, &day, day.seed);
     let bar = ProgressBar::new(day.seconds.ceil() as u64);
     if let Ok(style) = ProgressStyle::with_template("{elapsed} [{bar:30}] {pos}/{len} s, {eta} left; {msg}") {
         bar.set_style(style);
     }
-    let outcome = baydrift_day::run(&day, |at, what| {
+    let progress = |at: f64, what: &str| {
         bar.set_position(at as u64);
         if !what.is_empty() {
             bar.set_message(what.to_owned());
             tracing::info!(at, what, "trouble");
         }
-    })
-    .await
-    .into_diagnostic()?;
+    };
+    let outcome = if args.in_virtual_time {
+        baydrift_day::run_virtual(&day, progress)
+    } else {
+        baydrift_day::run(&day, progress).await
+    };
+    let outcome = outcome.into_diagnostic()?;
     bar.finish_and_clear();
-    if let Some(path) = &args.record {
-        let file =
-            std::fs::File::create(path).into_diagnostic().wrap_err_with(|| path.display().to_string())?;
-        write_record(&outcome.lines, file).into_diagnostic().wrap_err_with(|| path.display().to_string())?;
-    }
     let policy = if day.policy == Policy::RoundRobin { "round robin" } else { "baydrift" };
     println!(
         "{policy}: {} fronts, {} servers, {:.1} calls/s for {:.0} s, seed {}",
@@ -94,6 +259,7 @@
         day.seed
     );
     print!("{}", baydrift_day::table(&outcome.verdict, &outcome.service));
+    keep(&args, &day, &outcome)?;
     for (front, snapshot) in outcome.fronts.iter().enumerate() {
         let held: Vec<_> = snapshot.held_back.iter().filter(|(_, n)| *n > 0).collect();
         tracing::info!(front, ?snapshot, "the front's own counts");
@@ -106,7 +272,13 @@
 
 pub fn audit(path: &Path) -> miette::Result<ExitCode> {
     let file = std::fs::File::open(path).into_diagnostic().wrap_err_with(|| path.display().to_string())?;
-    let lines = read_record(std::io::BufReader::new(file)).into_diagnostic()?;
+    let lines = match read_record(std::io::BufReader::new(file)) {
+        Ok(lines) => lines,
+        Err(error) => {
+            eprintln!("{}: {error}", path.display());
+            return Ok(ExitCode::from(2));
+        }
+    };
     let verdict = rules(&lines, Terms::default());
     print!("{}", baydrift_day::table(&verdict, &baydrift_audit::service(&lines, &[], &[])));
     Ok(if verdict.kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -64,7 +64,7 @@
     let callers = CallerSpec {
         host: "callers.demo.test".into(),
         realm: "demo.test".into(),
-        front: (0, config.host.clone(), config.realm.clone(), addrs.diameter),
+        front: (0, config.host.clone(), config.realm.clone()),
         to_realm: config.realm.clone(),
         servers: (0..SERVERS).map(|n| (format!("s{n}.demo.test"), 1.0)).collect(),
         flows: vec![flow(0, "lookup@demo.test", 0.8), flow(1, "check@demo.test", 0.2)],
@@ -74,14 +74,14 @@
     if let Some(addr) = addrs.text_udp {
         let spec = TextSpec {
             mid: "<callers.demo.test>".into(),
-            front: (0, addr),
+            front: 0,
             servers: callers.servers.clone(),
             flows: callers.flows.clone(),
         };
-        let started = TextCaller::start(spec, told.clone(), recorder.clone(), args.seed + 1).await;
+        let started = TextCaller::start(spec, addr, told.clone(), recorder.clone(), args.seed + 1).await;
         texts = Some(started.into_diagnostic()?);
     }
-    let callers = Caller::start(callers, told, recorder.clone(), args.seed);
+    let callers = Caller::start(callers, addrs.diameter, told, recorder.clone(), args.seed);
     let until = async {
         match args.seconds {
             Some(seconds) => tokio::time::sleep(Duration::from_secs_f64(seconds.clamp(0.0, 1e6))).await,
--- /dev/null
+++ b/crates/day/src/cast.rs
@@ -0,0 +1,216 @@
+//! Who plays: the fronts' configuration, servers and callers of a day, the same on sockets and in virtual time.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+
+use baydrift::interface::Report;
+use baydrift_audit::ClassTerms;
+use baydrift_config::Config;
+use baydrift_emulator::{CallerSpec, Flow, Offers, ProcessorSpec, ServerSpec, TextSpec};
+
+use crate::run::DayError;
+use crate::script::{Day, What};
+
+/// The list service's word at the fronts.
+pub(crate) const TOKEN: &str = "list-service-of-the-day";
+/// More than one so that a reconnecting client never meets its own ghost.
+const CONNECTIONS: usize = 4;
+
+/// The configuration of one front of a day, as an operator would write it.
+pub fn config_text(day: &Day, ordinal: u32, servers: &[SocketAddr], fleet: bool) -> String {
+    let mut text = String::new();
+    let _ = writeln!(
+        text,
+        "front \"front{ordinal}.edge.test\" realm=\"edge.test\" {{\n    listen \"127.0.0.1:0\"\n    serves \
+         \"core.test\"\n    fronts {}\n    ordinal {ordinal}\n    seed {}\n    watchdog \"{}us\"\n    stop-within \
+         \"2s\"\n}}",
+        day.fronts,
+        day.seed * 1_000 + u64::from(ordinal),
+        day.watchdog
+    );
+    let s = &day.servers;
+    let _ = writeln!(
+        text,
+        "policy {{\n    cold-from {:.3}\n    ramp \"{}us\"\n    fall-multiple {:.3}\n    fall-time \"{}us\"\n}}",
+        s.cold_from, s.ramp, s.fall_multiple, s.fall_time
+    );
+    for class in &day.classes {
+        let _ = writeln!(
+            text,
+            "class \"{0}\" {{\n    context \"{0}@day.test\"\n    worth {1:.3}\n    late-worth {2:.3}\n    aim \
+             \"{3}us\"\n    deadline \"{4}us\"\n    gives-up \"{5}us\"\n}}",
+            class.name, class.worth, class.late_worth, class.aim, class.deadline, class.gives_up
+        );
+    }
+    for publisher in &day.publishers {
+        let _ = writeln!(
+            text,
+            "publisher \"{0}\" quota={1:.3} {{\n    subscription \"{0}:\"\n}}",
+            publisher.name, publisher.quota
+        );
+    }
+    let _ = writeln!(text, "client \"callers{ordinal}.test\" realm=\"test\" connections={CONNECTIONS}");
+    text.push_str("text udp=\"127.0.0.1:0\"\n");
+    for publisher in 0..day.publishers.len() {
+        let _ = writeln!(text, "text-client \"{}\" realm=\"test\"", text_mid(ordinal, publisher));
+    }
+    for (number, addr) in servers.iter().enumerate() {
+        let host = host_of(number);
+        let _ = writeln!(text, "server \"{host}\" realm=\"core.test\" number={number} addr=\"{addr}\"");
+    }
+    let _ = writeln!(text, "pool listen=\"127.0.0.1:0\" token=\"{TOKEN}\"");
+    if fleet {
+        text.push_str("fleet bind=\"127.0.0.1:0\"\n");
+    }
+    text
+}
+
+pub(crate) fn text_mid(ordinal: u32, publisher: usize) -> String {
+    format!("<p{publisher}.text{ordinal}.test>")
+}
+
+pub(crate) fn host_of(number: usize) -> String {
+    format!("s{number}.core.test")
+}
+
+/// One front's configuration, checked.
+pub(crate) fn config_of(day: &Day, ordinal: u32, servers: &[SocketAddr]) -> Result<Config, DayError> {
+    let text = config_text(day, ordinal, servers, day.fronts > 1);
+    baydrift_config::parse("front.kdl", &text).map_err(|error| {
+        let all: Vec<_> = error.problems.iter().map(ToString::to_string).collect();
+        DayError::Config(Box::new(error), all.join("; "))
+    })
+}
+
+/// Servers that are reached over a link with faults.
+pub(crate) fn linked(day: &Day) -> std::collections::BTreeSet<usize> {
+    let delayed = (day.servers.link_delay > 0).then_some(0..day.servers.rates.len());
+    let named = day.troubles.iter().filter_map(|t| match t.what {
+        What::LinkDown { server } | What::LinkStalled { server } => Some(server),
+        _ => None,
+    });
+    named.chain(delayed.into_iter().flatten()).collect()
+}
+
+/// What callers offer when there is no trouble.
+pub(crate) fn usual(day: &Day) -> Offers {
+    Offers {
+        redials: day.redials,
+        redial_wait: day.redial_wait,
+        again: day.again,
+        heeds: day.heeds,
+        ..Offers::default()
+    }
+}
+
+/// The Diameter callers of a front, and their seed.
+pub(crate) fn callers(day: &Day, ordinal: u32) -> (CallerSpec, u64) {
+    let spec = caller_spec(day, ordinal);
+    let flows = scaled(&spec.flows, 1.0 - day.text);
+    (CallerSpec { flows, ..spec }, day.seed * 10_000 + u64::from(ordinal))
+}
+
+/// The text callers of a front, one client a publisher, and their seeds.
+pub(crate) fn texts(day: &Day, ordinal: u32) -> Vec<(TextSpec, u64)> {
+    let spec = caller_spec(day, ordinal);
+    let publishers = if day.text > 0.0 { day.publishers.len() } else { 0 };
+    let seed = day.seed * 10_000 + u64::from(ordinal) + 5_000;
+    let of = |publisher: usize| {
+        let mut flows = scaled(&spec.flows, day.text);
+        flows.retain(|flow| flow.publisher == publisher);
+        let (mid, servers) = (text_mid(ordinal, publisher), spec.servers.clone());
+        (TextSpec { mid, front: ordinal, servers, flows }, seed + 100 * publisher as u64)
+    };
+    (0..publishers).map(of).collect()
+}
+
+/// What calls are worth.
+pub(crate) fn class_terms(day: &Day) -> Vec<ClassTerms> {
+    let of = |c: &crate::script::Class| ClassTerms {
+        name: c.name.clone(),
+        worth: c.worth,
+        late_worth: c.late_worth,
+        aim: c.aim,
+        hot_worth: 0.1,
+    };
+    day.classes.iter().map(of).collect()
+}
+
+/// The same flows at a share of their rates.
+pub(crate) fn scaled(flows: &[Flow], share: f64) -> Vec<Flow> {
+    flows.iter().map(|flow| Flow { rate: flow.rate * share, ..flow.clone() }).collect()
+}
+
+pub(crate) fn server_spec(day: &Day, number: usize) -> ServerSpec {
+    let s = &day.servers;
+    let has = |what: &str| s.tells.iter().any(|tell| tell == what);
+    // A table of functions, since what is told is fixed for a run.
+    let tells: fn(Report) -> Report = match (has("wait"), has("busy"), has("rate"), has("queue")) {
+        (true, ..) => |r| Report { wait_s: r.wait_s, ..Report::default() },
+        (_, true, _, true) => |r| Report { busy: r.busy, queue: r.queue, ..Report::default() },
+        (_, true, ..) => |r| Report { busy: r.busy, ..Report::default() },
+        (_, _, true, true) => |r| Report { rate: r.rate, queue: r.queue, ..Report::default() },
+        (_, _, true, _) => |r| Report { rate: r.rate, ..Report::default() },
+        (_, _, _, true) => |r| Report { queue: r.queue, ..Report::default() },
+        _ => |_| Report::default(),
+    };
+    ServerSpec {
+        host: host_of(number),
+        realm: "core.test".into(),
+        number: number as u16,
+        processor: ProcessorSpec {
+            rate: s.rates[number],
+            release: s.release,
+            refusal: s.refusal,
+            most_wait: s.most_wait,
+            cold_from: s.cold_from,
+            ramp: s.ramp,
+            fall_multiple: s.fall_multiple,
+            fall_time: s.fall_time,
+        },
+        report_period: s.report_period,
+        report_delay: s.report_delay,
+        report_noise: s.report_noise,
+        tells,
+        connections: 1_024,
+        watchdog: day.watchdog * 4,
+        fronts: (0..day.fronts).map(|o| (format!("front{o}.edge.test"), o)).collect(),
+    }
+}
+
+pub(crate) fn caller_spec(day: &Day, ordinal: u32) -> CallerSpec {
+    let total = |all: f64| if all > 0.0 { all } else { 1.0 };
+    let classes = total(day.classes.iter().map(|c| c.share).sum());
+    let publishers = total(day.publishers.iter().map(|p| p.share).sum());
+    let mut flows = Vec::new();
+    for (class, c) in day.classes.iter().enumerate() {
+        for (publisher, p) in day.publishers.iter().enumerate() {
+            let share = c.share / classes * p.share / publishers / f64::from(day.fronts);
+            flows.push(Flow {
+                class,
+                publisher,
+                context: format!("{}@day.test", c.name),
+                subscription: format!("{}:caller", p.name),
+                rate: day.calls_per_s * share,
+                hold: c.hold,
+                patience: c.gives_up,
+            });
+        }
+    }
+    CallerSpec {
+        host: format!("callers{ordinal}.test"),
+        realm: "test".into(),
+        front: (ordinal, format!("front{ordinal}.edge.test"), "edge.test".into()),
+        to_realm: "core.test".into(),
+        // A call's first choice follows what servers can do, as routes are planned.
+        servers: day
+            .servers
+            .rates
+            .iter()
+            .enumerate()
+            .map(|(number, rate)| (host_of(number), *rate))
+            .collect(),
+        flows,
+        watchdog: day.watchdog * 4,
+    }
+}
--- /dev/null
+++ b/crates/day/src/emulated.rs
@@ -0,0 +1,127 @@
+//! Plays a day in virtual time: the same script, desks, peers and models, without sockets.
+
+use baydrift::interface::{Micros, ServerState};
+use baydrift_audit::Moment;
+use baydrift_desk::{PoolEntry, PoolList};
+use baydrift_emulator::{Command, Fault, Offers, Roughness, World, WorldSpec};
+use baydrift_front::{FrontError, Snapshot};
+
+use crate::cast::{callers, config_of, host_of, linked, server_spec, texts, usual};
+use crate::course::{Course, Hands, Pool};
+use crate::run::{aftermath, outcome, policy_of, DayError, Outcome};
+use crate::script::Day;
+
+/// Server links come up before the first call does.
+const WARM_UP: Micros = 200_000;
+
+struct Stage {
+    world: World,
+    version: u64,
+    fronts: usize,
+}
+
+impl Hands for Stage {
+    fn command(&mut self, server: usize, command: Command) {
+        self.world.command(server, command);
+    }
+
+    fn link(&mut self, server: usize, fault: Fault) {
+        self.world.set_link(server, fault);
+    }
+
+    fn offer(&mut self, front: usize, offers: &Offers) {
+        self.world.offer(Some(front), offers);
+    }
+
+    fn stall(&mut self, front: usize, span: Micros) {
+        self.world.stall(front, span);
+    }
+
+    fn lose_messages(&mut self, share: f64) {
+        self.world.lose_messages(share);
+    }
+
+    fn list(&mut self, due: Micros, pool: &Pool) {
+        self.version += 1;
+        let entry = |(number, (state, started)): (usize, &(&str, Option<Micros>))| PoolEntry {
+            host: host_of(number),
+            state: match *state {
+                "ready" => ServerState::Ready,
+                "draining" => ServerState::Draining,
+                _ => ServerState::Gone,
+            },
+            started_ago: started.map(|at| due.saturating_sub(at)),
+        };
+        let list = PoolList {
+            version: self.version,
+            full: true,
+            servers: pool.iter().enumerate().map(entry).collect(),
+        };
+        for front in 0..self.fronts {
+            let told = pool.iter().enumerate().map(|(server, (state, _))| Moment::Told {
+                server: server as u16,
+                front: front as u32,
+                ready: *state == "ready",
+                by_list: true,
+            });
+            self.world.push_list(due, front, list.clone(), told.collect());
+        }
+    }
+
+    fn record(&mut self, moment: Moment) {
+        self.world.record(moment);
+    }
+}
+
+/// Plays a day in virtual time; equal days give equal records, to the byte.
+///
+/// # Errors
+/// Where the fronts' configuration cannot be made of the script.
+pub fn run_virtual(day: &Day, mut progress: impl FnMut(f64, &str)) -> Result<Outcome, DayError> {
+    let addrs: Vec<_> = (0..day.servers.rates.len())
+        .map(|number| std::net::SocketAddr::from(([127, 0, 0, 1], 20_000 + number as u16)))
+        .collect();
+    let mut fronts = Vec::new();
+    for ordinal in 0..day.fronts {
+        let config = config_of(day, ordinal, &addrs)?;
+        let policy = policy_of(day, &config);
+        fronts.push((config, policy));
+    }
+    let world = World::new(WorldSpec {
+        fronts,
+        servers: (0..day.servers.rates.len()).map(|number| server_spec(day, number)).collect(),
+        callers: (0..day.fronts).map(|ordinal| callers(day, ordinal)).collect(),
+        texts: (0..day.fronts).flat_map(|ordinal| texts(day, ordinal)).collect(),
+        offers: usual(day),
+        linked: linked(day),
+        link_delay: day.servers.link_delay,
+        datagrams_lost: day.datagrams_lost,
+        seed: day.seed,
+        roughness: Roughness::default(),
+    });
+    let world = world.map_err(FrontError::Engine)?;
+    let mut stage = Stage { world, version: 0, fronts: day.fronts as usize };
+    stage.world.run_until(WARM_UP);
+    stage.world.begin();
+    let mut course = Course::new(day, WARM_UP);
+    while stage.world.now() < course.end() {
+        stage.world.run_until(course.next());
+        let now = stage.world.now();
+        course.act(now, &mut stage, &mut progress);
+    }
+    course.close(&mut stage);
+    let end = stage.world.now() + aftermath(day);
+    stage.world.run_until(end);
+    let snapshots = (0..stage.fronts).filter_map(|front| {
+        let desk = stage.world.desk(front)?;
+        Some(Snapshot {
+            counts: desk.counts().clone(),
+            held: desk.held(),
+            held_back: desk.held_back(),
+            faults: desk.faults(),
+            ..Snapshot::default()
+        })
+    });
+    let snapshots = snapshots.collect();
+    Ok(outcome(day, stage.world.into_lines(), snapshots))
+}
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -1,14 +1,21 @@
 //! Days: a script names fronts, servers, callers and troubles; [`run`] plays them on loopback sockets with real
-//! fronts, and [`Outcome`] is what the record shows.
+//! fronts, [`run_virtual`] plays the same without sockets, and [`Outcome`] is what the record shows.
 
 mod baseline;
 mod bench;
+mod cast;
+mod course;
+mod draw;
+mod emulated;
 mod run;
 mod script;
 mod table;
 
 pub use baseline::RoundRobin;
 pub use bench::{from_bench, BenchError};
-pub use run::{config_text, run, DayError, Outcome};
+pub use cast::config_text;
+pub use draw::drawn;
+pub use emulated::run_virtual;
+pub use run::{run, DayError, Outcome};
 pub use script::{parse, Class, Day, Policy, Publisher, Servers, Trouble, What};
 pub use table::table;
--- a/crates/day/src/table.rs
+++ b/crates/day/src/table.rs
@@ -20,6 +20,16 @@
     us.map_or("none".into(), |us| format!("{:.0} ms", us as f64 / 1e3))
 }
 
+/// What calls were excused for.
+fn why(verdict: &Verdict) -> String {
+    let all: Vec<_> = verdict.excused.iter().map(|(why, count)| format!("{count} {}", why.name())).collect();
+    if all.is_empty() {
+        String::new()
+    } else {
+        format!(" ({})", all.join(", "))
+    }
+}
+
 /// Rules, service by class and publisher, and latency percentiles.
 pub fn table(verdict: &Verdict, service: &Service) -> String {
     let mut text = String::new();
@@ -30,11 +40,11 @@
     }
     let _ = writeln!(
         text,
-        "  calls {}, answered {}, excused {}, read late by loss {}; set-ups {}; latest after a drain was told {}; shortest resend {}",
+        "  calls {}, answered {}, excused {}{}; set-ups {}; latest after a drain was told {}; shortest resend {}",
         verdict.calls,
         verdict.answered,
-        verdict.excused,
-        verdict.late_by_loss,
+        verdict.excused(),
+        why(verdict),
         verdict.set_ups,
         ms(verdict.latest_after_drain),
         ms(verdict.shortest_guard)
--- a/crates/desk/src/commands.rs
+++ b/crates/desk/src/commands.rs
@@ -26,6 +26,11 @@
 
 /// A transaction that took longer asks for its reply's acknowledgement at once (RFC 3525, section 8.2.3).
 const TOOK_LONG: Micros = 300_000;
+/// Over datagrams a call is decided so long before its caller gives up, so that three copies of its reply may be
+/// said in time: at 20% loss one answer in 125 given at the last moment is lost then, not one in five.
+const RESERVE: Micros = 460_000;
+/// The reply of any other transaction that took long is said again for at most so long.
+const REPLY_AGAIN: Micros = 10_000_000;
 
 fn no<T>(code: u16, text: &str) -> Result<T, ErrorDescriptor> {
     Err(ErrorDescriptor::new(code, text))
@@ -162,10 +167,12 @@
         }
     }
 
-    /// A client is gone: its link closed, or it does not answer.
+    /// A client is gone: its link closed, or it does not answer. Its calls go with the association: nobody can name
+    /// their contexts any more, and a set-up that went on would be a second one beside what its caller asks anew.
     pub(crate) fn text_gone(&mut self, now: Micros, link: LinkId, out: &mut Vec<DeskOutput>) {
-        if self.text.clients.contains_key(&link) {
+        if let Some(owner) = self.text.clients.get(&link).map(|client| client.mid.clone()) {
             self.text.drop_client(link);
+            self.engine(now, Input::ClientUp { link, owner, restarted: true }, out);
             self.engine(now, Input::ClientDown(link), out);
         }
     }
@@ -181,7 +188,7 @@
         let (turn, _) = self.text.turns.ask(&link, (link, id));
         if turn == Turn::Refused {
             let error = ErrorDescriptor::new(code::INSUFFICIENT_RESOURCES, "too many transactions wait");
-            return self.answer_transaction(now, link, id, false, ReplyBody::Error(error), out);
+            return self.answer_transaction(now, link, id, None, ReplyBody::Error(error), out);
         }
         self.text.jobs.insert((link, id), Job::new(link, actions, now));
         if turn == Turn::Runs {
@@ -236,7 +243,16 @@
     fn finish(&mut self, now: Micros, link: LinkId, id: u32, out: &mut Vec<DeskOutput>) {
         let Some(job) = self.text.jobs.remove(&(link, id)) else { return };
         let long = now.saturating_sub(job.began) > TOOK_LONG;
-        self.answer_transaction(now, link, id, long, ReplyBody::Actions(job.replies), out);
+        // A call's answer that is lost is worth nothing: over datagrams it is said until it is acknowledged, or
+        // its caller has given up. Repeats of the request alone lose one answer in some thousands at 20% loss.
+        let reliable = self.text.clients.get(&link).is_none_or(|client| client.exchange.is_reliable());
+        let wanted = job.wanted_until.saturating_sub(now);
+        let again_for = match (reliable, wanted) {
+            (false, 1..) => Some(wanted),
+            _ if long => Some(REPLY_AGAIN),
+            _ => None,
+        };
+        self.answer_transaction(now, link, id, again_for, ReplyBody::Actions(job.replies), out);
         if let Some((_, (link, id))) = self.text.turns.done(&job.link) {
             self.text.steps.push_back(Step::Run(link, id));
         }
@@ -247,14 +263,14 @@
         now: Micros,
         link: LinkId,
         id: u32,
-        immediate_ack: bool,
+        again_for: Option<Micros>,
         body: ReplyBody,
         out: &mut Vec<DeskOutput>,
     ) {
-        let text = self.text.reply(id, immediate_ack, body);
+        let text = self.text.reply(id, again_for.is_some(), body);
         let mut dos = Vec::new();
         if let Some(client) = self.text.clients.get_mut(&link) {
-            client.exchange.answer(now, id, text, immediate_ack, &mut dos);
+            client.exchange.answer(now, id, text, again_for.unwrap_or(0), &mut dos);
         }
         dos.into_iter().for_each(|what| self.text_do(now, link, what, out));
     }
@@ -337,18 +353,26 @@
             }
             _ => return no(code::UNKNOWN_CONTEXT, "calls are set up in a context that is chosen"),
         };
-        let offer = self
+        let (offer, patience) = self
             .offer(link, context, command)
             .map_err(|fault| ErrorDescriptor::new(code::UNKNOWN_VALUE, fault.text))?;
         self.text.waiting.insert(offer.request, (link, id));
+        if let Some(job) = self.text.jobs.get_mut(&(link, id)) {
+            job.wanted_until = job.wanted_until.max(now.saturating_add(patience));
+        }
         let entry = Entry { session: offer.session.clone(), since: now, stands: false };
         self.text.contexts.insert((link, context), entry);
         self.engine(now, Input::Offered(offer), out);
         Ok(Done::Waits(context))
     }
 
-    /// The call of an Add, by the same table as a CCR: what it says is said as one.
-    fn offer(&mut self, link: LinkId, context: u32, command: &Command) -> Result<Offer<Payload>, Fault> {
+    /// The call of an Add, by the same table as a CCR: what it says is said as one; and when its caller gives up.
+    fn offer(
+        &mut self,
+        link: LinkId,
+        context: u32,
+        command: &Command,
+    ) -> Result<(Offer<Payload>, Micros), Fault> {
         let Some(client) = self.text.clients.get(&link) else {
             return Err(Fault::new(0, "no such client"));
         };
@@ -374,19 +398,22 @@
         let facts = self.table.facts(&message, &ccr)?;
         let session = Session { owner: client.mid.clone(), id: Arc::from(session) };
         let span = debug_span!("call", session = &*session.id);
+        let patience = facts.gives_up.saturating_sub(self.waited);
+        let reserve = if client.exchange.is_reliable() { 0 } else { RESERVE.min(facts.gives_up / 4) };
         self.next_ticket += 1;
-        Ok(Offer {
+        let offer = Offer {
             session,
             request: Request { link, ticket: self.next_ticket },
             class: facts.class,
             tenant: facts.tenant,
             number: facts.number,
             first_choice: facts.first_choice,
-            gives_up_in: facts.gives_up.saturating_sub(self.waited),
+            gives_up_in: patience.saturating_sub(reserve),
             redial: None,
             was_cut: false,
             payload: Payload { request: Arc::new(message), name: get("bdc/ref").map(Arc::from), span },
-        })
+        };
+        Ok((offer, patience))
     }
 
     fn known(&self, link: LinkId, context: Context) -> Result<(u32, Entry), ErrorDescriptor> {
--- a/crates/desk/src/text.rs
+++ b/crates/desk/src/text.rs
@@ -51,6 +51,8 @@
     pub(crate) context: Context,
     pub(crate) replies: Vec<ActionReply>,
     pub(crate) began: Micros,
+    /// When the last caller of its set-ups gives up; 0 without one.
+    pub(crate) wanted_until: Micros,
     /// The command that waits for the engine.
     pub(crate) waits: Option<(Command, u32)>,
 }
@@ -239,6 +241,7 @@
             context: Context::Null,
             replies: Vec::new(),
             began,
+            wanted_until: 0,
             waits: None,
         }
     }
--- a/crates/diameter/src/watchdog.rs
+++ b/crates/diameter/src/watchdog.rs
@@ -114,8 +114,11 @@
                 self.set(now, draw);
             }
             (Okay, Other) => self.set(now, draw),
+            // The table leaves the watchdog pending where another message came first. If the peer swallowed it,
+            // the first quiet interval, hours later, would then fail over a peer that was asked nothing since:
+            // it is asked anew instead.
             (Suspect, Answer | Other) => {
-                self.pending &= event == Other;
+                self.pending = false;
                 out.push(Failback);
                 self.set(now, draw);
                 self.state = Okay;
--- /dev/null
+++ b/crates/emulator/src/front.rs
@@ -0,0 +1,293 @@
+//! A front in virtual time: the real desk, peers and doors, with the tasks that a service has around them as
+//! queues whose delays are drawn.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use baydrift::interface::Micros;
+use baydrift_audit::Moment;
+use baydrift_call::{EngineError, LinkId, Policy};
+use baydrift_config::Config;
+use baydrift_desk::{
+    ClientLink, Desk, DeskInput, DeskOutput, Doors, LinkOutput, PoolList, ServerLink, Stalls, CATCH_UP,
+};
+use baydrift_diameter::credit::APPLICATION;
+use baydrift_diameter::{code, Frame, Local, Message, PeerInput, Side};
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+
+/// What the core is told.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum ToCore {
+    Desk(DeskInput),
+    /// A list, and what it makes true if it is taken.
+    Pool(PoolList, Vec<Moment>),
+}
+
+/// A client's link as the front holds it.
+#[derive(Debug)]
+struct Client {
+    conn: u64,
+    /// `None` until its CER came.
+    link: Option<ClientLink>,
+}
+
+/// A server's link, and its transport.
+#[derive(Debug)]
+pub(crate) struct Server {
+    link: ServerLink,
+    pub(crate) conn: Option<u64>,
+}
+
+/// What a link's task did.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Did {
+    /// Opened a transport to its server.
+    Connect,
+    /// Sent.
+    Send(u64, Message),
+    /// Closed.
+    Close(u64),
+    /// Told the core.
+    Tell(DeskInput),
+}
+
+/// See the module's page.
+#[derive(Debug)]
+pub(crate) struct Front {
+    config: Config,
+    local: Arc<Local>,
+    desk: Desk,
+    stalls: Stalls,
+    /// Until then the core only reads, after an own stall.
+    catching: Option<Micros>,
+    read: Vec<ToCore>,
+    doors: Doors,
+    pub(crate) servers: Vec<Server>,
+    clients: BTreeMap<LinkId, Client>,
+    next_link: u64,
+    pub(crate) stalled_until: Micros,
+}
+
+impl Front {
+    pub(crate) fn new(
+        config: Config,
+        policy: Option<Box<dyn Policy>>,
+        boot: u32,
+        rng: &mut Pcg64Mcg,
+    ) -> Result<Self, EngineError> {
+        let seed = config.seed.unwrap_or_else(|| rng.random());
+        let desk = match policy {
+            Some(policy) => Desk::with_policy(&config, boot, policy)?,
+            None => Desk::new(&config, boot, seed)?,
+        };
+        let local = Arc::new(Local {
+            host: config.host.clone(),
+            realm: config.realm.clone(),
+            addresses: vec![config.listen.ip()],
+            vendor: 0,
+            product: "baydrift".into(),
+            state_id: boot,
+            applications: vec![APPLICATION],
+            commands: vec![(APPLICATION, code::CREDIT_CONTROL), (APPLICATION, code::ABORT_SESSION)],
+        });
+        let link =
+            |server| ServerLink::new(server, local.clone(), config.watchdog, rng.random(), rng.random());
+        let links: Vec<_> = config.servers.iter().map(link).collect();
+        Ok(Self {
+            servers: links.into_iter().map(|link| Server { link, conn: None }).collect(),
+            doors: Doors::new(&config),
+            config,
+            local,
+            desk,
+            stalls: Stalls::default(),
+            catching: None,
+            read: Vec::new(),
+            clients: BTreeMap::new(),
+            next_link: 1,
+            stalled_until: 0,
+        })
+    }
+
+    pub(crate) fn desk(&self) -> &Desk {
+        &self.desk
+    }
+
+    // --- the core ---
+
+    /// When the core wants to wake.
+    pub(crate) fn core_due(&self) -> Micros {
+        self.catching.unwrap_or_else(|| self.stalls.due(&self.desk))
+    }
+
+    /// The core takes an input, or wakes.
+    pub(crate) fn core(
+        &mut self,
+        now: Micros,
+        input: Option<ToCore>,
+        out: &mut Vec<DeskOutput>,
+        told: &mut Vec<Moment>,
+    ) {
+        self.read.extend(input);
+        if self.catching.is_some_and(|until| now < until) {
+            return;
+        }
+        if self.catching.take().is_none() && self.stalls.woke(now, &mut self.desk) {
+            self.catching = Some(now + CATCH_UP);
+            return;
+        }
+        for input in std::mem::take(&mut self.read) {
+            match input {
+                ToCore::Desk(input) => self.desk.hear(now, input, out),
+                // One that is turned down, as an older one is, leaves the last good one.
+                ToCore::Pool(list, moments) => {
+                    if self.desk.pool(now, &list, out).is_ok() {
+                        told.extend(moments);
+                    }
+                }
+            }
+        }
+        self.desk.hear(now, DeskInput::Tick, out);
+    }
+
+    // --- server links ---
+
+    pub(crate) fn server_due(&self, server: usize) -> Micros {
+        self.servers.get(server).map_or(Micros::MAX, |s| s.link.due())
+    }
+
+    pub(crate) fn server_input(&mut self, now: Micros, server: usize, input: PeerInput, did: &mut Vec<Did>) {
+        let Some(server) = self.servers.get_mut(server) else { return };
+        if matches!(input, PeerInput::Disconnected(_) | PeerInput::ConnectFailed) {
+            server.conn = None;
+        }
+        let mut out = Vec::new();
+        server.link.handle(now, input, &mut out);
+        for output in out {
+            match (output, server.conn) {
+                (LinkOutput::Connect, _) => did.push(Did::Connect),
+                (LinkOutput::Send(Side::Initiator, message), Some(conn)) => {
+                    did.push(Did::Send(conn, message));
+                }
+                (LinkOutput::Close(Side::Initiator, _) | LinkOutput::Down, Some(conn)) => {
+                    server.conn = None;
+                    did.push(Did::Close(conn));
+                }
+                (LinkOutput::Desk(input), _) => did.push(Did::Tell(input)),
+                _ => {}
+            }
+        }
+    }
+
+    /// What the core sends to a server leaves its task's queue.
+    pub(crate) fn out_to_server(&mut self, output: DeskOutput, did: &mut Vec<Did>) {
+        let (server, message) = match output {
+            DeskOutput::ToServer { server, attempt, kind, message } => {
+                let Some(place) = self.place(server) else { return };
+                let asked = self.servers[place].link.request(attempt, kind, message);
+                (place, asked.map(|(_, message)| message))
+            }
+            DeskOutput::Reply { server, message } => {
+                let Some(place) = self.place(server) else { return };
+                (place, self.servers[place].link.side().map(|_| message))
+            }
+            _ => return,
+        };
+        if let (Some(message), Some(conn)) = (message, self.servers[server].conn) {
+            did.push(Did::Send(conn, message));
+        }
+    }
+
+    pub(crate) fn place(&self, server: u64) -> Option<usize> {
+        self.servers.iter().position(|s| s.link.id() == server)
+    }
+
+    // --- client links ---
+
+    /// A client's transport was accepted: its link, or nothing where there is no room.
+    pub(crate) fn accepted(&mut self, conn: u64) -> Option<LinkId> {
+        let link = LinkId(self.next_link);
+        self.next_link += 1;
+        self.doors.accept(link).then(|| {
+            self.clients.insert(link, Client { conn, link: None });
+            link
+        })
+    }
+
+    pub(crate) fn link_of(&self, conn: u64) -> Option<LinkId> {
+        self.clients.iter().find(|(_, client)| client.conn == conn).map(|(link, _)| *link)
+    }
+
+    pub(crate) fn client_due(&self, link: LinkId) -> Micros {
+        let link = self.clients.get(&link).and_then(|client| client.link.as_ref());
+        link.map_or(Micros::MAX, ClientLink::due)
+    }
+
+    pub(crate) fn client_message(
+        &mut self,
+        now: Micros,
+        id: LinkId,
+        message: Message,
+        rng: &mut Pcg64Mcg,
+        did: &mut Vec<Did>,
+    ) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if client.link.is_some() {
+            return self.client_input(
+                now,
+                id,
+                PeerInput::Received(Side::Responder, Frame::Good(message)),
+                did,
+            );
+        }
+        match self.doors.greet(id, &message, &self.local) {
+            Ok(opened) => {
+                let (local, seed) = (self.local.clone(), rng.random());
+                client.link = Some(ClientLink::new(id, local, self.config.watchdog, rng.random(), seed));
+                did.push(Did::Tell(DeskInput::ClientUp { link: id, opened }));
+                self.client_input(now, id, PeerInput::Accepted(message), did);
+            }
+            Err(fault) => {
+                let refusal = Message::refusal(&message, &fault, &self.local.host, &self.local.realm);
+                did.push(Did::Send(client.conn, refusal));
+                did.push(Did::Close(client.conn));
+                self.clients.remove(&id);
+                self.doors.close(id);
+            }
+        }
+    }
+
+    pub(crate) fn client_input(&mut self, now: Micros, id: LinkId, input: PeerInput, did: &mut Vec<Did>) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let Some(link) = &mut client.link else {
+            if matches!(input, PeerInput::Disconnected(_)) {
+                self.clients.remove(&id);
+                self.doors.close(id);
+            }
+            return;
+        };
+        let mut out = Vec::new();
+        link.handle(now, input, &mut out);
+        for output in out {
+            match output {
+                LinkOutput::Send(_, message) => did.push(Did::Send(client.conn, message)),
+                LinkOutput::Desk(input) => did.push(Did::Tell(input)),
+                _ => {}
+            }
+        }
+        if !link.is_open() {
+            did.push(Did::Close(client.conn));
+            did.push(Did::Tell(DeskInput::ClientDown(id)));
+            self.clients.remove(&id);
+            self.doors.close(id);
+        }
+    }
+
+    /// What the core sends to a client leaves its task's queue.
+    pub(crate) fn out_to_client(&mut self, id: LinkId, message: Message, did: &mut Vec<Did>) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if let Some(link) = &mut client.link {
+            did.push(Did::Send(client.conn, link.outgoing(message)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,26 @@
+//! Models of what stands around a front, without I/O, and a world that runs them with real desks and peers in
+//! virtual time.
+//!
+//! [`SessionServer`], [`Callers`] and [`TextCallers`] take what they hear and the time, and say what they want
+//! done; `baydrift-standin` puts them on sockets, [`World`] runs them without. Equal seeds give equal runs, to the
+//! byte of the record.
+
+mod agenda;
+mod caller;
+mod front;
+mod link;
+mod offers;
+mod processor;
+mod queue;
+mod server;
+mod text;
+mod world;
+
+pub use caller::{CallerInput, CallerOutput, CallerSpec, Callers};
+pub use link::Fault;
+pub use offers::{Flow, Offers};
+pub use processor::{Processor, ProcessorSpec, Taken, Work};
+pub use queue::Queue;
+pub use server::{Command, ConnId, ServerInput, ServerOutput, ServerSpec, SessionServer};
+pub use text::{said, TextCallers, TextOutput, TextSpec};
+pub use world::{Roughness, World, WorldSpec};
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -35,8 +35,13 @@
     pub first_repeat: Micros,
     /// A repeat is never later than this after the last.
     pub longest_repeat: Micros,
-    /// Times that one request is sent before the other end counts as lost.
+    /// A reply whose acknowledgement was asked for is never said again later than this after the last copy.
+    pub longest_reply_repeat: Micros,
+    /// Times that one request is sent before the other end counts as lost ...
     pub sends: u32,
+    /// ... and for how long: by a measured round trip of milliseconds the sends alone are over in half a second,
+    /// and so often at 20% loss that a living client with all its calls was given up (section 8.2.3: LONG-TIMER).
+    pub lost_after: Micros,
     /// Own requests that wait for a reply at once.
     pub open: usize,
     /// Whether the transport keeps order and loses nothing (TCP): no repeats then.
@@ -52,7 +57,9 @@
             known: 20_000,
             first_repeat: 200_000,
             longest_repeat: 4_000_000,
+            longest_reply_repeat: 250_000,
             sends: 7,
+            lost_after: 30_000_000,
             open: 10_000,
             reliable: false,
         }
@@ -149,9 +156,9 @@
     }
 
     /// The reply to a request that was executed. Only the first counts. Where the text asks for its
-    /// acknowledgement at once (`acked`), it is said again until that comes (section 8.2.3).
-    pub fn answer(&mut self, now: Micros, id: u32, text: Arc<str>, acked: bool, out: &mut Vec<Do>) {
-        self.receiver.answer(now, id, text, acked, out);
+    /// acknowledgement at once (section 8.2.3), it is said again until that comes or `again_for` has passed.
+    pub fn answer(&mut self, now: Micros, id: u32, text: Arc<str>, again_for: Micros, out: &mut Vec<Do>) {
+        self.receiver.answer(now, id, text, again_for, out);
     }
 
     /// Sends an own request, made by `text` from its new id; `None` when too many are open.
@@ -176,6 +183,11 @@
         self.receiver.clear_but(keep);
     }
 
+    /// Whether the transport keeps order and loses nothing.
+    pub fn is_reliable(&self) -> bool {
+        self.receiver.is_reliable()
+    }
+
     /// What has happened.
     pub fn counts(&self) -> Counts {
         self.counts
--- a/crates/exchange/src/receive.rs
+++ b/crates/exchange/src/receive.rs
@@ -13,8 +13,8 @@
     /// Being executed; pendings sent so far, and when the next is due.
     Executing { pendings: u32, next: Micros },
     /// Answered; the reply is kept for repeats until `until`. Where its acknowledgement was asked for, it is said
-    /// again by itself at `next`, after `wait` and then after doubling times.
-    Answered { reply: Arc<str>, until: Micros, next: Micros, wait: Micros, sends: u32 },
+    /// again by itself at `next`, after `wait` and then after doubling times, up to `last`.
+    Answered { reply: Arc<str>, until: Micros, next: Micros, wait: Micros, last: Micros },
     /// Answered, and the reply arrived: only the id is kept, so that a late copy of the request does nothing.
     Acknowledged { until: Micros },
 }
@@ -32,6 +32,10 @@
         Self { settings, known: BTreeMap::new(), due: BTreeSet::new() }
     }
 
+    pub(crate) fn is_reliable(&self) -> bool {
+        self.settings.reliable
+    }
+
     pub(crate) fn request(&mut self, now: Micros, id: u32, counts: &mut Counts, out: &mut Vec<Do>) {
         self.expire(now);
         match self.known.get_mut(&id) {
@@ -81,16 +85,23 @@
         true
     }
 
-    pub(crate) fn answer(&mut self, now: Micros, id: u32, reply: Arc<str>, acked: bool, out: &mut Vec<Do>) {
+    pub(crate) fn answer(
+        &mut self,
+        now: Micros,
+        id: u32,
+        reply: Arc<str>,
+        again_for: Micros,
+        out: &mut Vec<Do>,
+    ) {
         let Some(stage) = self.known.get_mut(&id) else { return };
         let Stage::Executing { next, .. } = stage else { return };
         self.due.remove(&(*next, id));
         let until = now.saturating_add(self.settings.long_timer);
-        // After a pending the other end waits long before it asks again: a reply that got lost is said again.
-        let again = acked && !self.settings.reliable;
-        let wait = self.settings.first_repeat;
-        let next = if again { now.saturating_add(wait).min(until) } else { until };
-        *stage = Stage::Answered { reply: reply.clone(), until, next, wait, sends: 1 };
+        let again_for = if self.settings.reliable { 0 } else { again_for };
+        let last = now.saturating_add(again_for).min(until);
+        let wait = self.settings.first_repeat.min(self.settings.longest_reply_repeat);
+        let next = next_copy(now, wait, last, until);
+        *stage = Stage::Answered { reply: reply.clone(), until, next, wait, last };
         self.due.insert((next, id));
         out.push(Do::Send(reply));
     }
@@ -148,11 +159,9 @@
                         *next = Micros::MAX;
                     }
                 }
-                Some(Stage::Answered { reply, until, next, wait, sends }) if *until > now => {
-                    *wait = wait.saturating_mul(2).min(self.settings.longest_repeat);
-                    *sends += 1;
-                    let again = *sends <= self.settings.sends;
-                    *next = if again { now.saturating_add(*wait).min(*until) } else { *until };
+                Some(Stage::Answered { reply, until, next, wait, last }) if *until > now => {
+                    *wait = wait.saturating_mul(2).min(self.settings.longest_reply_repeat);
+                    *next = next_copy(now, *wait, *last, *until);
                     self.due.insert((*next, id));
                     counts.said_again += 1;
                     out.push(Do::Send(reply.clone()));
@@ -174,3 +183,13 @@
         self.known.len()
     }
 }
+
+/// When a reply is said again by itself; at `until`, when it is forgotten, once `last` is over.
+fn next_copy(now: Micros, wait: Micros, last: Micros, until: Micros) -> Micros {
+    let next = now.saturating_add(wait);
+    if next <= last {
+        next
+    } else {
+        until
+    }
+}
--- a/crates/exchange/src/send.rs
+++ b/crates/exchange/src/send.rs
@@ -115,7 +115,8 @@
             self.due.remove(&(at, id));
             let Some(mut open) = self.open.remove(&id) else { continue };
             // Over TCP the one repeat that is due only tells that the other end is lost.
-            if open.sends >= self.settings.sends || self.settings.reliable && open.sends > 1 {
+            let long = now >= open.sent_at.saturating_add(self.settings.lost_after);
+            if open.sends >= self.settings.sends && long || self.settings.reliable && open.sends > 1 {
                 out.push(Do::Lost(id));
                 continue;
             }
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use baydrift_call::LinkId;
-use baydrift_desk::{DeskInput, Opened};
-use baydrift_diameter::{cause, code, Frame, Message, Peer, PeerInput, PeerOutput, Side, StreamError};
+use baydrift_desk::{ClientLink, DeskInput, LinkOutput, Opened};
+use baydrift_diameter::{cause, code, Frame, Message, PeerInput, Side, StreamError};
 use futures_util::StreamExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -59,13 +59,8 @@
         Ok(opened) => {
             info!(link = link.0, peer = opened.remote.host, "client connected");
             let (to_link, from_core) = mpsc::channel(shared.config.links.queue);
-            let peer = Peer::new(
-                shared.local.clone(),
-                None,
-                shared.config.watchdog,
-                shared.end_to_end(),
-                rand::random(),
-            );
+            let (local, watchdog) = (shared.local.clone(), shared.config.watchdog);
+            let peer = ClientLink::new(link, local, watchdog, shared.end_to_end(), rand::random());
             let up = ToCore::ClientUp(link, opened.clone(), to_link);
             if shared.core.send(up).await.is_ok() {
                 let mut client = Client { shared, wire, link, peer, out: Vec::new(), from_core };
@@ -93,8 +88,8 @@
     shared: &'a Arc<Shared>,
     wire: Wire,
     link: LinkId,
-    peer: Peer,
-    out: Vec<PeerOutput>,
+    peer: ClientLink,
+    out: Vec<LinkOutput>,
     from_core: mpsc::Receiver<ToLink>,
 }
 
@@ -103,7 +98,7 @@
         self.give(PeerInput::Accepted(cer)).await?;
         loop {
             self.flush().await?;
-            if self.peer.side().is_none() {
+            if !self.peer.is_open() {
                 return Ok(());
             }
             let due = self.shared.clock.at(self.peer.due());
@@ -127,7 +122,7 @@
                 Some(None) => return self.give(PeerInput::Disconnected(Side::Responder)).await,
                 None => return Ok(()),
             }
-            next = if self.peer.side().is_some() { read_now(&mut self.wire) } else { None };
+            next = if self.peer.is_open() { read_now(&mut self.wire) } else { None };
         }
         match next {
             Some(Some(frame)) => self.give(PeerInput::Received(Side::Responder, frame?)).await,
@@ -140,10 +135,8 @@
         let mut next = Some(first);
         for _ in 0..BURST {
             match next {
-                Some(ToLink::Send(mut message)) => {
-                    if message.header.flags.request {
-                        self.peer.stamp(&mut message);
-                    }
+                Some(ToLink::Send(message)) => {
+                    let message = self.peer.outgoing(message);
                     self.feed(message).await?;
                 }
                 Some(ToLink::Stop) => {
@@ -154,7 +147,10 @@
             next = self.from_core.try_recv().ok();
         }
         match next {
-            Some(ToLink::Send(message)) => self.feed(message).await,
+            Some(ToLink::Send(message)) => {
+                let message = self.peer.outgoing(message);
+                self.feed(message).await
+            }
             Some(ToLink::Stop) => self.give(PeerInput::Stop(cause::REBOOTING)).await,
             _ => Ok(()),
         }
@@ -166,14 +162,10 @@
         self.peer.handle(now, input, &mut out);
         for output in out.drain(..) {
             match output {
-                PeerOutput::Send(_, message) => self.feed(message).await?,
-                PeerOutput::Request(message) => {
-                    let input = DeskInput::ClientRequest { link: self.link, message };
-                    let _ = self.shared.core.send(ToCore::Desk(input)).await;
-                }
-                PeerOutput::Refused(code) => debug!(link = self.link.0, code, "message turned down"),
-                PeerOutput::Suspect => info!(link = self.link.0, "client's watchdog is unanswered"),
-                // Answers of clients (to ASR) change nothing; the rest shows in the machine's state.
+                LinkOutput::Send(_, message) => self.feed(message).await?,
+                LinkOutput::Desk(input) => drop(self.shared.core.send(ToCore::Desk(input)).await),
+                LinkOutput::Refused(code) => debug!(link = self.link.0, code, "message turned down"),
+                // Its state tells when the link is over.
                 _ => {}
             }
         }
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -6,7 +6,7 @@
 
 use baydrift::interface::{Micros, ServerId};
 use baydrift_call::{AttemptId, LinkId};
-use baydrift_desk::{Desk, DeskInput, DeskOutput, Kind, Opened, PoolError, PoolList};
+use baydrift_desk::{Desk, DeskInput, DeskOutput, Kind, Opened, PoolError, PoolList, Stalls, CATCH_UP};
 use baydrift_diameter::Message;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
@@ -48,14 +48,6 @@
 
 /// Inputs handled before timers and outputs get their turn.
 const BATCH: usize = 256;
-/// A timer so late means that this process stood still.
-const STALLED: Micros = 100_000;
-/// After a stall, readers get this long to hand over what came meanwhile.
-const CATCH_UP: Duration = Duration::from_millis(5);
-
-/// For so long after a stall what is read may have waited all through it.
-const CAUGHT_UP: Duration = Duration::from_millis(50);
-
 struct Core {
     shared: Arc<Shared>,
     desk: Desk,
@@ -92,10 +84,9 @@
         spent,
     };
     let mut batch = Vec::with_capacity(BATCH);
-    // Until when what is read may have waited.
-    let mut slept: Option<Instant> = None;
+    let mut stalls = Stalls::default();
     loop {
-        let wake = core.desk.next_wake();
+        let wake = stalls.due(&core.desk);
         tokio::select! {
             biased;
             count = inputs.recv_many(&mut batch, BATCH) => {
@@ -103,14 +94,10 @@
                     return;
                 }
             }
-            () = tokio::time::sleep_until(clock.at(wake.unwrap_or(Micros::MAX))) => {}
+            () = tokio::time::sleep_until(clock.at(wake)) => {}
         }
-        let late = wake.map_or(0, |at| clock.now().saturating_sub(at));
-        if late > STALLED {
-            slept = Some(Instant::now() + CAUGHT_UP);
-            core.desk.set_waited(late);
-            // Guards against timers that fire before what came in time was read.
-            tokio::time::sleep(CATCH_UP).await;
+        if stalls.woke(clock.now(), &mut core.desk) {
+            tokio::time::sleep(Duration::from_micros(CATCH_UP)).await;
             while let Ok(input) = inputs.try_recv() {
                 batch.push(input);
                 if batch.len() >= 16 * BATCH {
@@ -118,10 +105,6 @@
                 }
             }
         }
-        if slept.is_some_and(|until| Instant::now() > until) {
-            slept = None;
-            core.desk.set_waited(0);
-        }
         let (now, started) = (clock.now(), Instant::now());
         core.spent.inputs += batch.len() as u64;
         for input in batch.drain(..) {
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -3,10 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use baydrift::interface::ServerId;
 use baydrift_config::Server;
-use baydrift_desk::{DeskInput, Transit};
-use baydrift_diameter::{cause, Frame, Message, Peer, PeerInput, PeerOutput, Side, StreamError};
+use baydrift_desk::{DeskInput, LinkOutput, ServerLink};
+use baydrift_diameter::{cause, Frame, Message, PeerInput, Side, StreamError};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tracing::{debug, info, warn};
@@ -15,29 +14,21 @@
 use crate::link::{feed, flush, read, read_now, wire, Wire, BURST};
 use crate::{Inbound, Shared};
 
-/// Requests to one server without their answer; beyond it the oldest's answer counts as unasked.
-const TRANSIT: usize = 65_536;
-
 pub(crate) async fn run(
     shared: Arc<Shared>,
     server: Server,
     from_core: mpsc::Receiver<ToLink>,
     inbound: mpsc::Receiver<Inbound>,
 ) {
-    let expect = Some((server.host.clone(), server.realm.clone()));
-    let peer =
-        Peer::new(shared.local.clone(), expect, shared.config.watchdog, shared.end_to_end(), rand::random());
-    let id = u64::from(server.number);
+    let (local, watchdog) = (shared.local.clone(), shared.config.watchdog);
+    let peer = ServerLink::new(&server, local, watchdog, shared.end_to_end(), rand::random());
     let mut link = Link {
         shared,
         server,
-        id,
         peer,
         initiated: None,
         accepted: None,
         connecting: None,
-        transit: Transit::new(TRANSIT),
-        state_id: None,
         out: Vec::new(),
         from_core,
         inbound,
@@ -51,14 +42,11 @@
 struct Link {
     shared: Arc<Shared>,
     server: Server,
-    id: ServerId,
-    peer: Peer,
+    peer: ServerLink,
     initiated: Option<Wire>,
     accepted: Option<Wire>,
     connecting: Option<Connecting>,
-    transit: Transit,
-    state_id: Option<u32>,
-    out: Vec<PeerOutput>,
+    out: Vec<LinkOutput>,
     from_core: mpsc::Receiver<ToLink>,
     inbound: mpsc::Receiver<Inbound>,
     stopping: bool,
@@ -115,7 +103,7 @@
                 self.give(PeerInput::Connected).await;
             }
             Err(error) => {
-                debug!(server = self.id, %error, "no connection");
+                debug!(server = self.peer.id(), %error, "no connection");
                 self.give(PeerInput::ConnectFailed).await;
             }
         }
@@ -142,7 +130,7 @@
 
     async fn lost(&mut self, side: Side, error: Option<StreamError>) {
         if let Some(error) = error {
-            warn!(server = self.id, %error, "server's link closed");
+            warn!(server = self.peer.id(), %error, "server's link closed");
         }
         *self.wire(side) = None;
         self.give(PeerInput::Disconnected(side)).await;
@@ -152,11 +140,8 @@
         let mut next = Some(first);
         for _ in 0..BURST {
             match next {
-                Some(ToLink::Request(attempt, kind, mut message)) => {
-                    // Without a transport nothing can be sent; the desk hears of that by itself.
-                    let Some(side) = self.peer.side() else { return };
-                    let hop_by_hop = self.peer.stamp(&mut message);
-                    self.transit.sent(hop_by_hop, attempt, kind);
+                Some(ToLink::Request(attempt, kind, message)) => {
+                    let Some((side, message)) = self.peer.request(attempt, kind, message) else { return };
                     self.send(side, message).await;
                 }
                 Some(ToLink::Send(message)) => {
@@ -209,57 +194,27 @@
         let mut out = std::mem::take(&mut self.out);
         out.clear();
         self.peer.handle(now, input, &mut out);
-        for output in out {
+        for output in out.drain(..) {
             match output {
-                PeerOutput::Connect => {
+                LinkOutput::Connect => {
                     let addr = self.server.addr;
                     self.connecting = Some(tokio::spawn(TcpStream::connect(addr)));
                 }
-                PeerOutput::Send(side, message) => self.send(side, message).await,
-                PeerOutput::Close(side, reason) => {
-                    info!(server = self.id, %reason, "transport closed");
+                LinkOutput::Send(side, message) => self.send(side, message).await,
+                LinkOutput::Close(side, reason) => {
+                    info!(server = self.peer.id(), %reason, "transport closed");
                     self.close(side).await;
                 }
-                PeerOutput::Reject(message) => {
-                    self.send(Side::Responder, message).await;
-                    self.close(Side::Responder).await;
-                }
-                PeerOutput::Up(remote) => self.state_id = remote.state_id,
-                PeerOutput::Usable => {
-                    info!(server = self.id, host = self.server.host, "server in use");
-                    self.tell(DeskInput::ServerUp { server: self.id, state_id: self.state_id }).await;
-                }
-                PeerOutput::Suspect => {
-                    warn!(server = self.id, host = self.server.host, "server's watchdog is unanswered");
-                    self.tell(DeskInput::ServerSuspect(self.id)).await;
-                }
-                PeerOutput::Draining(cause) => {
-                    info!(server = self.id, host = self.server.host, cause, "server drains");
-                    self.tell(DeskInput::ServerDrains(self.id)).await;
-                }
-                PeerOutput::Down(reason) => {
-                    debug!(server = self.id, %reason, "server down");
-                    self.transit.clear();
+                LinkOutput::Down => {
+                    debug!(server = self.peer.id(), "server down");
                     self.connecting = None;
                     self.initiated = None;
-                    self.tell(DeskInput::ServerDown(self.id)).await;
-                }
-                PeerOutput::Request(message) => {
-                    self.tell(DeskInput::ServerRequest { server: self.id, message }).await;
                 }
-                PeerOutput::Answer(message) => self.answer(message).await,
-                PeerOutput::Refused(code) => debug!(server = self.id, code, "message turned down"),
+                LinkOutput::Desk(input) => self.tell(input).await,
+                LinkOutput::Refused(code) => debug!(server = self.peer.id(), code, "message turned down"),
             }
         }
-    }
-
-    async fn answer(&mut self, message: Message) {
-        match self.transit.answered(message.header.hop_by_hop) {
-            Some((attempt, kind)) => {
-                self.tell(DeskInput::ServerAnswer { server: self.id, attempt, kind, message }).await;
-            }
-            None => debug!(server = self.id, "an answer that nothing asked for"),
-        }
+        self.out = out;
     }
 
     async fn close(&mut self, side: Side) {
@@ -270,6 +225,13 @@
     }
 
     async fn tell(&self, input: DeskInput) {
+        let (server, host) = (self.peer.id(), &self.server.host);
+        match &input {
+            DeskInput::ServerUp { .. } => info!(server, host, "server in use"),
+            DeskInput::ServerSuspect(_) => warn!(server, host, "server's watchdog is unanswered"),
+            DeskInput::ServerDrains(_) => info!(server, host, "server drains"),
+            _ => {}
+        }
         let _ = self.shared.core.send(ToCore::Desk(input)).await;
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,16 +1,16 @@
-//! What stands around a front on loopback, written from public specifications, seeded, and recorded.
+//! The models of `baydrift-emulator` on loopback sockets, and links with faults; all is recorded.
 
-mod agenda;
 mod caller;
 mod link;
 mod list;
-mod model;
 mod server;
 mod text;
 
-pub use caller::{Caller, CallerSpec, Flow, Offers};
-pub use link::{Datagrams, Fault, Link};
+pub use baydrift_emulator::{
+    CallerSpec, Command, Fault, Flow, Offers, Processor, ProcessorSpec, ServerSpec, Taken, TextSpec, Work,
+};
+pub use caller::Caller;
+pub use link::{Datagrams, Link, Watched};
 pub use list::push;
-pub use model::{Processor, ProcessorSpec, Taken, Work};
-pub use server::{Command, Server, ServerSpec};
-pub use text::{TextCaller, TextSpec};
+pub use server::Server;
+pub use text::TextCaller;
