Trunk groups without I/O: circuits, dual seizure, selection, blocking, resets and audits

Change: crates/trunk holds a circuit's machine at one end with Q.764's timers, groups, and the decisions in a module of pure functions: opposite selection (method 2 of 2.9.1.3), the fixed rule by point code, what a call that yields does, circuits kept back, when a circuit is stuck (two looks apart with nothing moved between) and who is believed. An end that won the last free circuit gives way for 200 ms, else the other end starves by the rule. crates/emulator plays two ends with signals lost, doubled and late; `baydrift trunks` runs it.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod day;
 mod demo;
 mod front;
+mod trunks;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -56,6 +57,9 @@
         /// The record, as `baydrift day --record` writes it.
         record: PathBuf,
     },
+    /// Two exchanges and their trunk groups in virtual time: glare, lost signals, audits; exit code 1 if a circuit
+    /// stays busy or a call ends twice.
+    Trunks(trunks::Args),
 }
 
 fn main() -> miette::Result<ExitCode> {
@@ -73,6 +77,7 @@
         Command::Demo(args) => runtime.block_on(demo::run(args)),
         Command::Day(args) => runtime.block_on(day::run(args)),
         Command::Audit { record } => day::audit(&record),
+        Command::Trunks(args) => trunks::run(&args),
     }
 }
 
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -14,6 +14,7 @@
 mod queue;
 mod server;
 mod text;
+mod two_ends;
 mod world;
 
 pub use caller::{CallerInput, CallerOutput, CallerSpec, Callers};
@@ -23,4 +24,5 @@
 pub use queue::Queue;
 pub use server::{Command, ConnId, ServerInput, ServerOutput, ServerSpec, SessionServer};
 pub use text::{said, TextCallers, TextOutput, TextSpec};
+pub use two_ends::{Tally, TwoEnds, TwoEndsSpec};
 pub use world::{Roughness, World, WorldSpec};
