Exchanges on sockets: offices over M3UA packets, and rounds of simultaneous seizures on loopback

Change: front::Exchange is a thin tokio coat around an office: one task, bounded queues, a far end that does not read loses its connection, a lost one is opened again and its group counted unreachable meanwhile. Timers run fifty times faster there.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -77,7 +77,7 @@
         Command::Demo(args) => runtime.block_on(demo::run(args)),
         Command::Day(args) => runtime.block_on(day::run(args)),
         Command::Audit { record } => day::audit(&record),
-        Command::Trunks(args) => trunks::run(&args),
+        Command::Trunks(args) => runtime.block_on(trunks::run(&args)),
     }
 }
 
--- a/crates/cli/src/trunks.rs
+++ b/crates/cli/src/trunks.rs
@@ -1,12 +1,15 @@
 //! `baydrift trunks`: two exchanges and the groups between them, in virtual time.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use baydrift::interface::Micros;
+use baydrift_day::{rounds, RoundsSpec};
 use baydrift_emulator::{TwoEnds, TwoEndsSpec};
 use baydrift_trunk::decide::Selection;
 use baydrift_trunk::AuditSettings;
 use indicatif::{ProgressBar, ProgressStyle};
+use miette::IntoDiagnostic;
 
 const S: f64 = 1e6;
 
@@ -45,6 +48,10 @@
     /// Instead of callers, so many rounds in which both ends seize at the same moment.
     #[arg(long)]
     rounds: Option<u64>,
+    /// The rounds on loopback sockets, with two exchanges and a relay that loses and doubles packets, instead of in
+    /// virtual time. Q.764's timers are fifty times shorter than there.
+    #[arg(long, requires = "rounds")]
+    sockets: bool,
     /// Seed of all that is drawn.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -72,8 +79,11 @@
     }
 }
 
-pub fn run(args: &Args) -> miette::Result<ExitCode> {
+pub async fn run(args: &Args) -> miette::Result<ExitCode> {
     let spec = spec(args);
+    if let (Some(count), true) = (args.rounds, args.sockets) {
+        return on_sockets(args, count).await;
+    }
     let two = TwoEnds::new(spec).map_err(|(group, error)| miette::miette!("trunk group {group}: {error}"))?;
     let steps = args.rounds.unwrap_or(args.seconds.ceil() as u64);
     let bar = ProgressBar::new(steps);
@@ -85,6 +95,57 @@
     Ok(show(args, two, most))
 }
 
+/// How many times shorter Q.764's timers are on sockets.
+const HURRY: u64 = 50;
+
+async fn on_sockets(args: &Args, count: u64) -> miette::Result<ExitCode> {
+    let bar = ProgressBar::new(count);
+    if let Ok(style) = ProgressStyle::with_template("{elapsed} [{bar:30}] {pos}/{len} rounds, {eta} left") {
+        bar.set_style(style);
+    }
+    let spec = RoundsSpec {
+        rounds: count,
+        circuits: args.circuits,
+        selection: if args.sequential { Selection::Sequential } else { Selection::Opposite },
+        lost: args.lost.clamp(0.0, 1.0),
+        doubled: args.doubled.clamp(0.0, 1.0),
+        patience: Duration::from_millis(300),
+        hurry: HURRY,
+        seed: args.seed,
+    };
+    let tally = rounds(&spec, |round| bar.set_position(round)).await.into_diagnostic()?;
+    bar.finish_and_clear();
+    let counts = [tally.states[0].counts, tally.states[1].counts];
+    let sum = |of: fn(&baydrift_trunk::Counts) -> u64| of(&counts[0]) + of(&counts[1]);
+    println!("two exchanges on loopback: {count} rounds, {} circuits, seed {}", args.circuits, args.seed);
+    println!(
+        "  answered {:?}, gave up {}, otherwise ended {:?}; longest round {:.0} ms",
+        tally.answered,
+        tally.gave_up,
+        tally.ended,
+        tally.longest.as_secs_f64() * 1e3
+    );
+    println!(
+        "  {} seizures, {} of them met one of the far end: {} went on, {} yielded; {} found stuck, {} reset, {} queries",
+        sum(|c| c.seized),
+        sum(|c| c.glare_won) + sum(|c| c.glare_lost),
+        sum(|c| c.glare_won),
+        sum(|c| c.glare_lost),
+        sum(|c| c.stuck),
+        sum(|c| c.resets),
+        sum(|c| c.queries)
+    );
+    match tally.idle_after {
+        Some(after) => {
+            println!("  every circuit idle at both ends {:.2} s after the last round", after.as_secs_f64())
+        }
+        None => println!("  circuits still busy: {:?}", tally.states.each_ref().map(|state| &state.usage)),
+    }
+    tally.violations.iter().for_each(|what| println!("  NEVER: {what}"));
+    let kept = tally.violations.is_empty() && tally.idle_after.is_some();
+    Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 /// Rounds in which both ends seize at the same moment; each ends before the next begins, or after a minute.
 fn play_rounds(mut two: TwoEnds, bar: &ProgressBar) -> (TwoEnds, usize) {
     let mut most = 0;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod client;
 mod core;
+mod exchange;
 mod fleet;
 mod link;
 mod pool;
@@ -31,6 +32,8 @@
 
 use crate::core::ToCore;
 
+pub use exchange::{Exchange, ExchangeState, Role, ToExchange};
+
 /// Why a front cannot start.
 #[derive(Debug, thiserror::Error)]
 pub enum FrontError {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod link;
 mod list;
+mod packets;
 mod server;
 mod text;
 
@@ -12,5 +13,6 @@
 pub use caller::Caller;
 pub use link::{Datagrams, Link, Watched};
 pub use list::push;
+pub use packets::Packets;
 pub use server::Server;
 pub use text::TextCaller;
