A late copy on a circuit just released resets nothing; an audit looks instead

Change: a backward signal on a circuit idle for less than a second asks for an audit's look; later ones reset as before.

--- a/crates/trunk/src/decide.rs
+++ b/crates/trunk/src/decide.rs
@@ -56,6 +56,17 @@
     yielded < YIELDS_MAX
 }
 
+/// A backward signal on a circuit that has been idle for less than this may be a late copy of the last call's,
+/// microseconds: longer than a signal is under way.
+pub const LATE: u64 = 1_000_000;
+
+/// Whether a backward signal on an idle circuit shows that the far end holds what is no call: the circuit is reset
+/// then (Q.764, 2.9.5.1). Right after a release it may be a copy, and the reset would cut the far end's next call: an
+/// audit looks instead.
+pub fn shows_a_lost_call(idle_for: u64) -> bool {
+    idle_for >= LATE
+}
+
 /// What this end uses a circuit for, as an audit compares it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Ours {
@@ -135,6 +146,11 @@
         assert!(!gives_way(true, GIVES_WAY) && !gives_way(false, 0));
     }
 
+    #[test]
+    fn a_signal_right_after_a_release_proves_nothing() {
+        assert!(!shows_a_lost_call(0) && !shows_a_lost_call(LATE - 1) && shows_a_lost_call(LATE));
+    }
+
     #[test]
     fn the_last_circuits_are_for_first_choices() {
         assert!(may_seize(Claim::First, 1, 4) && !may_seize(Claim::First, 0, 0));
--- a/crates/trunk/src/trunks.rs
+++ b/crates/trunk/src/trunks.rs
@@ -6,7 +6,9 @@
 
 use crate::audit::{Audit, AuditSettings, Query, QUERY_MAX};
 use crate::circuit::{Circuit, Use};
-use crate::decide::{blocking_unknown_there, compare, may_seize, tries_another, Claim, Look};
+use crate::decide::{
+    blocking_unknown_there, compare, may_seize, shows_a_lost_call, tries_another, Claim, Look,
+};
 use crate::group::{Group, GroupSpec, SpecError};
 use crate::timers::{Agenda, Due, TimerSettings};
 use crate::types::{CallKey, Cic, End, GroupId, Maintenance, Output, Setup, Signal, Told, Usage, View};
@@ -386,9 +388,12 @@
     /// A backward signal that belongs to no call here: on an idle circuit the far end holds what is none, and the
     /// circuit is reset (Q.764, 2.9.5.1); on others it is late, or a copy.
     fn unless_idle(&mut self, now: Micros, group: usize, cic: Cic, out: &mut Vec<Output>) {
-        match self.circuit(group, cic).map(|circuit| circuit.used) {
-            Some(Use::Idle) => self.send_reset(now, group, cic, out),
-            Some(Use::In(_)) => self.odd(now, group, cic),
+        let Some(circuit) = self.circuit(group, cic) else { return };
+        match circuit.used {
+            Use::Idle if shows_a_lost_call(now.saturating_sub(circuit.since)) => {
+                self.send_reset(now, group, cic, out);
+            }
+            Use::Idle | Use::In(_) => self.odd(now, group, cic),
             _ => {}
         }
     }
