A drain outlives the link it was told on; a slow cold server is judged by the rate of the moment

Change: the same Origin-State-Id after a DPR says nothing; another process is back, or the same one after a minute. The model weighs each set-up by the rate of its moment.

--- a/crates/call/src/pool.rs
+++ b/crates/call/src/pool.rs
@@ -63,6 +63,9 @@
     }
 }
 
+/// A process that said that it leaves and is the same after this has thought better of it.
+const STILL_LEAVES: Micros = 60_000_000;
+
 /// The pool; see the module's page.
 #[derive(Debug)]
 pub struct Pool {
@@ -134,7 +137,12 @@
         let was_down = self.links.insert(server, state) == Some(LinkState::Down);
         let known = self.servers.get_mut(&server)?;
         if let LinkState::Up(process) = state {
-            known.left_itself = false;
+            // A process that said that it leaves, and whose link is lost and opened again by this end, still leaves.
+            // Another process is back; so is one that has not left for a minute.
+            let long = known.left_at.is_some_and(|at| now >= at.saturating_add(STILL_LEAVES));
+            if process != Process::Same || long {
+                known.left_itself = false;
+            }
             let told = known.started_at.is_some_and(|at| now.saturating_sub(at) < self.ramp);
             let cold = process == Process::New || process == Process::Unknown && was_down;
             if cold && !told {
--- a/crates/call/tests/calls.rs
+++ b/crates/call/tests/calls.rs
@@ -162,12 +162,18 @@
             assert!(set_up(&w.offer(id)).is_none_or(|(_, server)| server == 1), "order {order}");
         }
         assert_eq!(w.engine.held_back(Breach::Drained), 0);
-        // The list may say ready late; while the server itself left, it stays out until it speaks again.
+        // The list may say ready late; while the server itself left, it stays out until another process is there. A
+        // link that was lost and comes back to the same process says nothing.
         w.input(Input::List(ListKind::Delta, vec![entry(0, ServerState::Ready)]));
         let back = set_up(&w.offer(60)).is_some_and(|(_, server)| server == 0);
         assert_eq!(back, order == 0);
+        w.link(0, LinkState::Down);
         w.link(0, LinkState::Up(Process::Same));
-        assert!(set_up(&w.offer(61)).is_some_and(|(_, server)| server == 0));
+        let back = set_up(&w.offer(61)).is_some_and(|(_, server)| server == 0);
+        assert_eq!(back, order == 0);
+        w.pass(61_000 * MS);
+        w.link(0, LinkState::Up(Process::Same));
+        assert!(set_up(&w.offer(62)).is_some_and(|(_, server)| server == 0));
     }
 }
 
--- a/crates/emulator/src/processor.rs
+++ b/crates/emulator/src/processor.rs
@@ -56,7 +56,7 @@
     started: Option<Micros>,
     slow: f64,
     paused_until: Micros,
-    /// Set-ups offered, as a decaying count over `fall_time`.
+    /// Set-ups offered, each as the time that it would have taken when it came: decaying over `fall_time`.
     offered: (Micros, f64),
     busy: (Micros, f64),
     set_ups: usize,
@@ -116,10 +116,12 @@
     pub fn set_up(&mut self, now: Micros, key: u64) -> Taken {
         let window = self.spec.fall_time.max(1) as f64;
         let decay = (-(now.saturating_sub(self.offered.0) as f64) / window).exp();
-        self.offered = (now, self.offered.1 * decay + 1.0);
-        // The count settles at rate times window: after one window at the limit it has seen 0.63 of that.
-        let limit = self.rate(now) * self.spec.fall_multiple * window / 1e6;
-        if self.is_cold(now) && self.offered.1 > limit.max(4.0) {
+        // By the rate of its moment: one that turns slow is not pushed over by what it could do before.
+        let takes = 1e6 / self.rate(now);
+        self.offered = (now, self.offered.1 * decay + takes);
+        // The sum settles at the multiple of the window: after one window at the limit it has seen 0.63 of that.
+        let limit = self.spec.fall_multiple * window;
+        if self.is_cold(now) && self.offered.1 > limit.max(4.0 * takes) {
             return Taken::Fell;
         }
         if self.wait(now) > self.spec.most_wait {
