One place says what a front tells its peers, on sockets and in virtual time

A leftover assertion in the emulator compared a value with itself.

Change: baydrift_desk::local makes them for both; the leftover is gone. Behaviour is as before.

--- a/crates/desk/src/links.rs
+++ b/crates/desk/src/links.rs
@@ -2,16 +2,32 @@
 //!
 //! Whoever drives a front, on sockets or in virtual time, owns the transports and carries out [`LinkOutput`]s.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 
 use baydrift::interface::{Micros, ServerId};
 use baydrift_call::{AttemptId, LinkId};
-use baydrift_config::Server;
-use baydrift_diameter::{Local, Message, Peer, PeerInput, PeerOutput, Reason, Side};
+use baydrift_config::{Config, Server};
+use baydrift_diameter::credit::APPLICATION;
+use baydrift_diameter::{code, Local, Message, Peer, PeerInput, PeerOutput, Reason, Side};
 
 use crate::desk::DeskInput;
 use crate::transit::{Kind, Transit};
 
+/// What a front says of itself to its peers. `boot` is its Origin-State-Id.
+pub fn local(config: &Config, address: IpAddr, boot: u32) -> Arc<Local> {
+    Arc::new(Local {
+        host: config.host.clone(),
+        realm: config.realm.clone(),
+        addresses: vec![address],
+        vendor: 0,
+        product: "baydrift".into(),
+        state_id: boot,
+        applications: vec![APPLICATION],
+        commands: vec![(APPLICATION, code::CREDIT_CONTROL), (APPLICATION, code::ABORT_SESSION)],
+    })
+}
+
 /// Requests to one server without their answer; beyond it the oldest's answer counts as unasked.
 const TRANSIT: usize = 65_536;
 
--- a/crates/emulator/src/front.rs
+++ b/crates/emulator/src/front.rs
@@ -9,10 +9,9 @@
 use baydrift_call::{EngineError, LinkId, Policy};
 use baydrift_config::Config;
 use baydrift_desk::{
-    ClientLink, Desk, DeskInput, DeskOutput, Doors, LinkOutput, PoolList, ServerLink, Stalls, CATCH_UP,
+    local, ClientLink, Desk, DeskInput, DeskOutput, Doors, LinkOutput, PoolList, ServerLink, Stalls, CATCH_UP,
 };
-use baydrift_diameter::credit::APPLICATION;
-use baydrift_diameter::{code, Frame, Local, Message, PeerInput, Side};
+use baydrift_diameter::{Frame, Local, Message, PeerInput, Side};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 
@@ -81,16 +80,7 @@
             Some(policy) => Desk::with_policy(&config, boot, policy)?,
             None => Desk::new(&config, boot, seed)?,
         };
-        let local = Arc::new(Local {
-            host: config.host.clone(),
-            realm: config.realm.clone(),
-            addresses: vec![config.listen.ip()],
-            vendor: 0,
-            product: "baydrift".into(),
-            state_id: boot,
-            applications: vec![APPLICATION],
-            commands: vec![(APPLICATION, code::CREDIT_CONTROL), (APPLICATION, code::ABORT_SESSION)],
-        });
+        let local = local(&config, config.listen.ip(), boot);
         let link =
             |server| ServerLink::new(server, local.clone(), config.watchdog, rng.random(), rng.random());
         let links: Vec<_> = config.servers.iter().map(link).collect();
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -456,11 +456,9 @@
     }
 
     fn arrive(&mut self, id: u64, direction: usize, epoch: u32, parcel: Parcel) {
-        let end = 1 - direction;
         let Some(conn) = self.conns.get(id) else { return };
         // Towards the responder the receiving end is 1, back it is 0.
         let receiving = if direction == THERE { 1 } else { 0 };
-        debug_assert_eq!(receiving, end);
         if !conn.open[receiving] || conn.epoch != epoch {
             return;
         }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -22,9 +22,8 @@
 use baydrift::interface::Micros;
 use baydrift_call::{Counts, EngineError, LinkId, Policy};
 use baydrift_config::Config;
-use baydrift_desk::{Desk, Doors, Held};
-use baydrift_diameter::credit::APPLICATION;
-use baydrift_diameter::{code, Codec, Local, Message};
+use baydrift_desk::{local, Desk, Doors, Held};
+use baydrift_diameter::{Codec, Local, Message};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::codec::Framed;
@@ -218,16 +217,7 @@
             Some(policy) => Desk::with_policy(&config, boot, policy)?,
             None => Desk::new(&config, boot, seed)?,
         };
-        let local = Arc::new(Local {
-            host: config.host.clone(),
-            realm: config.realm.clone(),
-            addresses: vec![addrs.diameter.ip()],
-            vendor: 0,
-            product: "baydrift".into(),
-            state_id: boot,
-            applications: vec![APPLICATION],
-            commands: vec![(APPLICATION, code::CREDIT_CONTROL), (APPLICATION, code::ABORT_SESSION)],
-        });
+        let local = local(&config, addrs.diameter.ip(), boot);
         let (to_core, from_links) = mpsc::channel(CORE_QUEUE);
         let (closing, closed) = watch::channel(false);
         let (mut inbound, mut servers) = (BTreeMap::new(), Vec::new());
