The planted release is taken from the record's end

Need: clippy refused the way in which the last commit looked for it, and a field's name said twice. Change: next_back in place of last.

--- a/crates/day/tests/planting/mod.rs
+++ b/crates/day/tests/planting/mod.rs
@@ -55,12 +55,12 @@
         }
         _ => false,
     };
-    let given_up = set_ups.filter_map(|(from, attempt, call, server, front)| {
+    let mut given_up = set_ups.filter_map(|(from, attempt, call, server, front)| {
         let end = from + lines[from..].iter().position(|line| ends(&line.moment, attempt))?;
         matches!(lines[end].moment, Moment::Release { .. }).then_some((end, attempt, call, server, front))
     });
     let (end, gone, call, server, front) =
-        given_up.last().expect("a server that hangs has attempts that are given up");
+        given_up.next_back().expect("a server that hangs has attempts that are given up");
     let released = lines[end].at;
     let again = released + 400_000;
     // Up to the second set-up, without what else is known of the call then.
@@ -91,7 +91,7 @@
     assert_eq!(broken(&|lines| lines.retain(|line| !ends(&line.moment, gone))), [2]);
     let late = |lines: &mut Vec<Line>| {
         lines.retain(|line| !ends(&line.moment, gone));
-        let release = Moment::Release { server: server, attempt: gone.clone() };
+        let release = Moment::Release { server, attempt: gone.clone() };
         lines.push(Line { at: released + 290_000, moment: release });
     };
     assert_eq!(broken(&late), [5]);
