--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -55,6 +55,8 @@
     Mute { server: u16, front: u32 },
     /// A server, or the link that held its answers, goes on.
     Speaks { server: u16, front: u32 },
+    /// A client's way to its front begins to hold what it carries, or goes on and delivers it.
+    Held { client: String, held: bool },
     /// The connection between a front and a server ended.
     Unlinked { server: u16, front: u32 },
     /// A front was told that a server is ready, or not: by the list, or by the server itself.
--- a/crates/audit/src/rules.rs
+++ b/crates/audit/src/rules.rs
@@ -43,6 +43,8 @@
     unsure: Option<u64>,
     attempts: usize,
     parted: bool,
+    /// Offered while its client's way held what it carried.
+    held: bool,
 }
 
 struct Attempt {
@@ -63,6 +65,8 @@
     stalls: Vec<(u32, u64, u64)>,
     killed: BTreeMap<u32, u64>,
     lossy: BTreeSet<String>,
+    /// Clients whose way holds what it carries.
+    held: BTreeSet<String>,
     losses: Losses,
     verdict: Verdict,
 }
@@ -78,6 +82,7 @@
         stalls: Vec::new(),
         killed: BTreeMap::new(),
         lossy: BTreeSet::new(),
+        held: BTreeSet::new(),
         losses: Losses::default(),
         verdict: Verdict::default(),
     };
@@ -97,8 +102,9 @@
     fn take(&mut self, at: u64, moment: &Moment) {
         match moment {
             Moment::Offer { front, call, gives_up_us, .. } => {
+                let held = call.split('|').next().is_some_and(|client| self.held.contains(client));
                 let offered =
-                    Call { front: *front, offered: at, gives_up: at + gives_up_us, ..Call::default() };
+                    Call { front: *front, offered: at, gives_up: at + gives_up_us, held, ..Call::default() };
                 if self.calls.insert(call.clone(), offered).is_some() {
                     self.breach(1, at, format!("the record offers {call} twice"));
                 }
@@ -156,6 +162,8 @@
                 self.breach(4, at, format!("server {server} was pushed over while cold"));
             }
             Moment::Stall { front, us } => self.stalls.push((*front, at, at + us)),
+            Moment::Held { client, held: true } => drop(self.held.insert(client.clone())),
+            Moment::Held { client, held: false } => drop(self.held.remove(client)),
             Moment::Lossy { client } => drop(self.lossy.insert(client.clone())),
             Moment::Killed { front } => {
                 self.killed.insert(*front, at);
@@ -175,6 +183,7 @@
             return self.breach(1, at, format!("an answer to {name}, which was never offered"));
         };
         let (before, due, front, offered) = (call.code, call.gives_up, call.front, call.offered);
+        let held = call.held;
         let lossy = name.split('|').next().is_some_and(|client| self.lossy.contains(client));
         call.code.get_or_insert(code);
         call.answered.get_or_insert(at);
@@ -187,6 +196,7 @@
             None if at > due + SLACK && self.stood_still(front, offered) => {
                 self.verdict.excuse(Excuse::Stalled, None);
             }
+            None if at > due + SLACK && held => self.verdict.excuse(Excuse::Held, None),
             None if at > due + SLACK => {
                 let late = format!("{name} was answered {} us after its caller gave up", at - due);
                 let wanted = Wanted { name, offered, gives_up: due };
@@ -239,7 +249,9 @@
         };
         call.attempts += 1;
         call.out = Some(attempt.to_owned());
-        let (unsure, answered, attempts) = (call.unsure, call.answered.or(call.left), call.attempts);
+        // A front hears that the caller left after it hears of the call: one that was held comes with its end.
+        let left = call.left.filter(|_| !call.held);
+        let (unsure, answered, attempts) = (call.unsure, call.answered.or(left), call.attempts);
         if let Some(gap) = unsure.map(|unsure| at.saturating_sub(unsure)) {
             let shortest = self.verdict.shortest_guard;
             self.verdict.shortest_guard = Some(shortest.map_or(gap, |shortest| shortest.min(gap)));
@@ -281,7 +293,7 @@
                 continue;
             }
             let ends = (call.gives_up + SLACK > end).then_some(Excuse::RecordEnds);
-            let parted = call.parted.then_some(Excuse::Parted);
+            let parted = call.parted.then_some(Excuse::Parted).or(call.held.then_some(Excuse::Held));
             if let Some(why) = parted.or(ends).or_else(|| self.excuse(call.front, call.gives_up)) {
                 self.verdict.excuse(why, None);
                 continue;
--- a/crates/audit/src/verdict.rs
+++ b/crates/audit/src/verdict.rs
@@ -24,6 +24,9 @@
     Parted,
     /// The record ends before its caller gave up.
     RecordEnds,
+    /// It was offered while its way to the front held what it carried: the front read it later, and cannot know when
+    /// its caller began to wait.
+    Held,
     /// Every copy of its request was lost on the way.
     RequestsLost,
     /// Copies of its request were lost, and the next came so late that its answer did.
@@ -40,6 +43,7 @@
             Self::Killed => "front killed",
             Self::Parted => "connection ended",
             Self::RecordEnds => "record ends",
+            Self::Held => "request held on its way",
             Self::RequestsLost => "all requests lost",
             Self::LateArrival => "request arrived late",
             Self::RepliesLost => "all replies lost",
--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -158,6 +158,31 @@
     assert_eq!(with_these(vec![parted(1_290), again(2_900)]), NONE);
 }
 
+#[test]
+fn a_call_held_on_its_way_is_excused_and_its_neighbours_are_not() {
+    let held = |at, client: &str, held| (at, Moment::Held { client: client.into(), held });
+    let unanswered = |these: Vec<(u64, Moment)>| {
+        with(|m| {
+            m.retain(|(_, x)| !matches!(x, Moment::Answer { .. }));
+            let rest = std::mem::take(m);
+            m.extend(these.clone());
+            m.extend(rest);
+            m.sort_by_key(|(at, _)| *at);
+        })
+    };
+    assert_eq!(unanswered(vec![]), [1]);
+    assert_eq!(unanswered(vec![held(0, "c", true), held(900, "c", false)]), NONE);
+    // Another client's way; a hold that was over, or began later; and two answers stay two.
+    assert_eq!(unanswered(vec![held(0, "d", true)]), [1]);
+    assert_eq!(unanswered(vec![held(0, "c", true), held(0, "c", false)]), [1]);
+    assert_eq!(unanswered(vec![held(1_000, "c", true)]), [1]);
+    let two = with(|m| {
+        m.insert(0, held(0, "c", true));
+        m.push((2_000, answer("c|1", 5012)));
+    });
+    assert_eq!(two, [1]);
+}
+
 #[test]
 fn rule_2_catches_a_second_attempt() {
     assert_eq!(with(|m| m[2] = (1_260, release(0, "a1"))), [2]);
--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -258,6 +258,11 @@
         self.guard.held_back(breach)
     }
 
+    /// Whether an attempt is held still: out, standing, or to be released.
+    pub fn holds(&self, attempt: AttemptId) -> bool {
+        self.attempts.contains_key(&attempt)
+    }
+
     /// Calls held, in set-up or standing.
     pub fn calls_held(&self) -> usize {
         self.calls.len()
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -9,11 +9,18 @@
 
 /// Checks names that must be unique and things that must be there.
 pub(crate) fn check(document: &KdlDocument, problems: &Problems, front: &Node<'_>, config: &Config) {
-    for kind in ["class", "publisher", "client", "text-client", "server"] {
-        unique(document, problems, kind, |node| node.entries().iter().find(|e| e.name().is_none()));
+    for kind in ["class", "publisher", "client", "text-client"] {
+        unique(document, problems, &[kind], |node| node.entries().iter().find(|e| e.name().is_none()));
+    }
+    // Servers and far ends are members of one pool.
+    let members = ["server", "far-end"];
+    unique(document, problems, &members, |node| node.entries().iter().find(|e| e.name().is_none()));
+    unique(document, problems, &members, |node| node.entries().iter().find(|e| is(e, "number")));
+    unique(document, problems, &["server"], |node| node.entries().iter().find(|e| is(e, "addr")));
+    unique(document, problems, &["far-end"], |node| node.entries().iter().find(|e| is(e, "point")));
+    if config.point.is_none() && !config.far_ends.is_empty() {
+        front.wrong("far ends need this exchange's own point code", Some("exchange point=11"));
     }
-    unique(document, problems, "server", |node| node.entries().iter().find(|e| is(e, "number")));
-    unique(document, problems, "server", |node| node.entries().iter().find(|e| is(e, "addr")));
     if config.classes.is_empty() {
         front.wrong("no class is configured", Some("class \"name\" { context \"name@realm\" }"));
     }
@@ -23,7 +30,7 @@
     if config.text.is_none() && !config.text_clients.is_empty() {
         front.wrong("text-clients have nowhere to speak", Some("text udp=\"127.0.0.1:2944\""));
     }
-    if config.servers.is_empty() {
+    if config.members().next().is_none() {
         front.wrong("no server is configured", Some("server \"s1.example\" realm=... number=0 addr=..."));
     }
     if config.serves.is_empty() {
@@ -44,12 +51,12 @@
             front.wrong(text, None);
         }
         for number in class.class.servers.iter().flatten() {
-            if config.servers.iter().all(|s| s.number != *number) {
+            if config.members().all(|(_, other, _)| other != *number) {
                 front.wrong(format!("class {}: no server has number {number}", class.name), None);
             }
         }
     }
-    if config.servers.len() > config.limits.servers {
+    if config.members().count() > config.limits.servers {
         front.wrong(format!("more servers than limits allow ({})", config.limits.servers), None);
     }
     if let Some(fleet) = &config.fleet {
@@ -68,17 +75,19 @@
 fn unique<'a>(
     document: &'a KdlDocument,
     problems: &Problems,
-    kind: &str,
+    kinds: &[&str],
     key: impl Fn(&'a kdl::KdlNode) -> Option<&'a kdl::KdlEntry>,
 ) {
-    let mut seen = Vec::new();
-    for node in document.nodes().iter().filter(|n| n.name().value() == kind) {
+    let mut seen: BTreeMap<String, &str> = BTreeMap::new();
+    for node in document.nodes().iter().filter(|n| kinds.contains(&n.name().value())) {
         let Some(entry) = key(node) else { continue };
         // Port 0 asks for any: two of them are not the same.
         let any_port = entry.value().as_string().is_some_and(|t| t.ends_with(":0"));
-        if seen.contains(&entry.value()) && !any_port {
-            problems.add(entry.span(), format!("another {kind} has {} already", entry.value()), None);
+        match seen.get(&entry.value().to_string()) {
+            Some(kind) if !any_port => {
+                problems.add(entry.span(), format!("another {kind} has {} already", entry.value()), None);
+            }
+            _ => drop(seen.insert(entry.value().to_string(), node.name().value())),
         }
-        seen.push(entry.value());
     }
 }
--- a/crates/config/src/front.rs
+++ b/crates/config/src/front.rs
@@ -6,13 +6,14 @@
 
 use crate::check::check;
 use crate::reader::{parse_document, ConfigError, Node, Problems};
+use crate::trunk::far_end;
 use crate::{ClassEntry, Client, Config, Fleet, LinkLimits, Pool, Publisher, Server, Text, TextClient};
 
 const MS: u64 = 1_000;
 const S: u64 = 1_000_000;
 const HOUR: u64 = 3_600 * S;
 
-const KNOWN: [&str; 11] = [
+const KNOWN: [&str; 13] = [
     "front",
     "limits",
     "policy",
@@ -24,6 +25,8 @@
     "fleet",
     "text",
     "text-client",
+    "exchange",
+    "far-end",
 ];
 
 /// Reads and checks a front's configuration; `name` is the file's, for messages.
@@ -72,6 +75,9 @@
     let classes: Vec<_> = all(document, problems, "class").into_iter().map(class).collect();
     let publishers: Vec<_> = all(document, problems, "publisher").into_iter().map(publisher).collect();
     let (limits, links) = limits(one(document, problems, "limits"));
+    let point = one(document, problems, "exchange").map(exchange);
+    let far_ends = all(document, problems, "far-end").into_iter();
+    let far_ends = far_ends.map(|node| far_end(node, point.unwrap_or(0), &classes, &publishers)).collect();
     let front = one(document, problems, "front")?;
     let policy = one(document, problems, "policy");
     let (settings, grace, cold_rate) = settings(&front, policy, &classes, &publishers);
@@ -89,6 +95,8 @@
         text: one(document, problems, "text").map(text),
         text_clients: all(document, problems, "text-client").into_iter().map(text_client).collect(),
         servers: all(document, problems, "server").into_iter().map(server).collect(),
+        point,
+        far_ends,
         pool: one(document, problems, "pool").map(pool),
         fleet: one(document, problems, "fleet").map(fleet),
         classes,
@@ -183,8 +191,14 @@
     client
 }
 
-fn server(node: Node<'_>) -> Server {
-    let state = match node.text("state").as_deref() {
+fn exchange(node: Node<'_>) -> u32 {
+    let point = node.need_whole("point", 0..=0x3fff) as u32;
+    node.done();
+    point
+}
+
+pub(crate) fn state(node: &Node<'_>) -> ServerState {
+    match node.text("state").as_deref() {
         None | Some("ready") => ServerState::Ready,
         Some("draining") => ServerState::Draining,
         Some("gone") => ServerState::Gone,
@@ -192,13 +206,16 @@
             node.wrong_at("state", "state is none of ready, draining, gone", None);
             ServerState::Gone
         }
-    };
+    }
+}
+
+fn server(node: Node<'_>) -> Server {
     let server = Server {
         host: node.name("its Origin-Host"),
         realm: node.need_text("realm"),
         number: node.need_whole("number", 0..=65_535) as u16,
         addr: node.need_addr("addr"),
-        state,
+        state: state(&node),
     };
     node.done();
     server
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,7 @@
 mod check;
 mod front;
 mod reader;
+mod trunk;
 
 use std::net::SocketAddr;
 
@@ -14,6 +15,7 @@
 
 pub use front::parse;
 pub use reader::{parse_document, span_of, ConfigError, Node, Problem, Problems};
+pub use trunk::{Dial, FarEnd, Incoming, TrunkGroup};
 
 /// All settings of one front, checked.
 #[derive(Debug, Clone, PartialEq)]
@@ -48,6 +50,10 @@
     pub text_clients: Vec<TextClient>,
     /// Where calls are set up.
     pub servers: Vec<Server>,
+    /// Signalling point code of this exchange, where it has trunk groups.
+    pub point: Option<u32>,
+    /// Servers that are reached over trunk groups.
+    pub far_ends: Vec<FarEnd>,
     /// Where the list service pushes the pool.
     pub pool: Option<Pool>,
     /// The other fronts.
@@ -162,3 +168,11 @@
     /// The others', by ordinal.
     pub fronts: Vec<(u32, SocketAddr)>,
 }
+
+impl Config {
+    /// All members of the pool, however they are reached: name, number, and state until the list says otherwise.
+    pub fn members(&self) -> impl Iterator<Item = (&str, u16, ServerState)> {
+        let servers = self.servers.iter().map(|s| (s.host.as_str(), s.number, s.state));
+        servers.chain(self.far_ends.iter().map(|f| (f.host.as_str(), f.number, f.state)))
+    }
+}
--- /dev/null
+++ b/crates/config/src/trunk.rs
@@ -0,0 +1,153 @@
+//! Far ends that are reached over trunk groups, from KDL.
+
+use std::net::SocketAddr;
+
+use baydrift::interface::ServerState;
+use baydrift_trunk::decide::Selection;
+use baydrift_trunk::GroupSpec;
+
+use crate::reader::Node;
+use crate::{ClassEntry, Publisher};
+
+/// A signalling point code has 14 bits (Q.704, 2.2.3).
+const POINT_MAX: u64 = 0x3fff;
+/// CICs have 12 bits.
+const CIC_MAX: u64 = 0x0fff;
+
+/// Who opens the signalling link to a far end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Dial {
+    /// This end, to there.
+    Connect(SocketAddr),
+    /// The far end, to here.
+    Listen(SocketAddr),
+}
+
+/// A trunk group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TrunkGroup {
+    /// Its name for operators.
+    pub name: String,
+    /// Its circuits.
+    pub spec: GroupSpec,
+}
+
+/// What calls of a far end's are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Incoming {
+    /// Index of their class.
+    pub class: usize,
+    /// Index of their publisher; beyond all of them for none.
+    pub publisher: usize,
+}
+
+/// An exchange at the other end of trunk groups: a server of the pool that is reached by circuits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FarEnd {
+    /// Its name, as callers name it for their first choice.
+    pub host: String,
+    /// Its number; also its id for the module.
+    pub number: u16,
+    /// Its state until the list says otherwise.
+    pub state: ServerState,
+    /// Its signalling point code.
+    pub point: u32,
+    /// Its signalling link.
+    pub dial: Dial,
+    /// The groups that lead there; one at least.
+    pub groups: Vec<TrunkGroup>,
+    /// What its own calls are; without it they are turned away.
+    pub incoming: Option<Incoming>,
+}
+
+pub(crate) fn far_end(
+    node: Node<'_>,
+    own_point: u32,
+    classes: &[ClassEntry],
+    publishers: &[Publisher],
+) -> FarEnd {
+    let point = node.need_whole("point", 0..=POINT_MAX) as u32;
+    let dial = match (node.addr("connect"), node.addr("listen")) {
+        (Some(addr), None) => Dial::Connect(addr),
+        (None, Some(addr)) => Dial::Listen(addr),
+        _ => {
+            let hint = "connect=\"192.0.2.1:2905\", or listen= where the far end connects";
+            node.wrong("a far end has one of connect and listen", Some(hint));
+            Dial::Connect(([127, 0, 0, 1], 0).into())
+        }
+    };
+    if point == own_point {
+        let text = format!("point {point} is this exchange's own: the rule for dual seizure needs two");
+        node.wrong_at("point", text, None);
+    }
+    let children = node.children("group");
+    if children.is_empty() {
+        node.wrong("a far end has a group at least", Some("group \"north\" first=1 circuits=30"));
+    }
+    let groups: Vec<_> = children.into_iter().map(|child| group(child, own_point, point)).collect();
+    for (place, group) in groups.iter().enumerate() {
+        let overlaps = |other: &&TrunkGroup| {
+            let (a, b) = (&other.spec, &group.spec);
+            a.first < b.first.saturating_add(b.circuits) && b.first < a.first.saturating_add(a.circuits)
+        };
+        if let Some(other) = groups[..place].iter().find(overlaps) {
+            let text = format!("groups {} and {} have circuits of one code", other.name, group.name);
+            node.wrong(text, Some("a circuit's code is its own among all groups to one far end"));
+        }
+    }
+    let incoming =
+        node.children("incoming").into_iter().map(|child| incoming(child, classes, publishers)).next();
+    let far_end = FarEnd {
+        host: node.name("its name"),
+        number: node.need_whole("number", 0..=65_535) as u16,
+        state: crate::front::state(&node),
+        point,
+        dial,
+        groups,
+        incoming,
+    };
+    node.done();
+    far_end
+}
+
+fn group(node: Node<'_>, own_point: u32, far_point: u32) -> TrunkGroup {
+    let selection = match node.text("selection").as_deref() {
+        None | Some("opposite") => Selection::Opposite,
+        Some("sequential") => Selection::Sequential,
+        Some(_) => {
+            node.wrong_at("selection", "selection is none of opposite, sequential", None);
+            Selection::Opposite
+        }
+    };
+    let first = node.whole("first", 0..=CIC_MAX).unwrap_or(1) as u16;
+    let circuits = node.need_whole("circuits", 1..=CIC_MAX + 1) as u16;
+    if u64::from(first) + u64::from(circuits) > CIC_MAX + 1 {
+        node.wrong_at("circuits", format!("circuits beyond code {CIC_MAX}"), None);
+    }
+    let reserve = node.whole("reserve", 0..=CIC_MAX).unwrap_or(0) as usize;
+    if reserve >= usize::from(circuits) && circuits > 0 {
+        node.wrong_at("reserve", "all circuits are kept back for first choices", Some("less than circuits"));
+    }
+    let group = TrunkGroup {
+        name: node.name("the group's name"),
+        spec: GroupSpec { own_point, far_point, first, circuits, selection, reserve },
+    };
+    node.done();
+    group
+}
+
+fn incoming(node: Node<'_>, classes: &[ClassEntry], publishers: &[Publisher]) -> Incoming {
+    let class = node.need_text("class");
+    let class = classes.iter().position(|c| c.name == class).unwrap_or_else(|| {
+        node.wrong_at("class", format!("no class is called {class}"), None);
+        0
+    });
+    let publisher = node.text("publisher").map_or(publishers.len(), |name| {
+        publishers.iter().position(|p| p.name == name).unwrap_or_else(|| {
+            node.wrong_at("publisher", format!("no publisher is called {name}"), None);
+            0
+        })
+    });
+    node.done();
+    Incoming { class, publisher }
+}
--- a/crates/config/tests/config.rs
+++ b/crates/config/tests/config.rs
@@ -95,3 +95,51 @@
     );
     assert_eq!(wrong(""), ["1:1: front is missing"]);
 }
+
+const FAR_END: &str = r#"exchange point=11
+far-end "gw.test" number=7 point=21 connect="127.0.0.1:2905" {
+    group "north" first=1 circuits=30 reserve=2
+    group "south" first=33 circuits=30 selection="sequential"
+    incoming class="grid" publisher="gulf"
+}
+"#;
+
+#[test]
+fn far_ends_are_members_of_the_pool() {
+    let text = format!("{GOOD}{FAR_END}");
+    let config = parse("test.kdl", &text).unwrap_or_else(|e| panic!("{:?}", e.problems));
+    let members: Vec<_> = config.members().map(|(host, number, _)| (host, number)).collect();
+    assert_eq!(members, [("s0.core.test", 0), ("s1.core.test", 1), ("gw.test", 7)]);
+    let far = &config.far_ends[0];
+    assert_eq!((config.point, far.point, far.groups.len()), (Some(11), 21, 2));
+    assert_eq!((far.groups[0].spec.reserve, far.groups[1].spec.first), (2, 33));
+    assert_eq!(far.incoming.map(|incoming| (incoming.class, incoming.publisher)), Some((0, 0)));
+}
+
+#[test]
+fn what_is_wrong_with_far_ends_is_told_with_its_place() {
+    let lines = GOOD.lines().count();
+    let with = |from: &str, to: &str| {
+        let broken = FAR_END.replace(from, to);
+        assert_ne!(broken, FAR_END, "{from}");
+        wrong(&format!("{GOOD}{broken}"))
+    };
+    let one = |from: &str, to: &str, line: usize, text: &str| {
+        let problems = with(from, to);
+        let place = format!("{}:", lines + line);
+        assert!(problems.len() == 1 && problems[0].starts_with(&place), "{problems:?}");
+        assert!(problems[0].contains(text), "{problems:?}");
+    };
+    one("point=21", "point=11", 2, "own");
+    one("point=21", "point=99999", 2, "point");
+    one("first=33", "first=20", 2, "circuits of one code");
+    one("circuits=30 reserve=2", "circuits=5000", 3, "circuits");
+    one("reserve=2", "reserve=30", 3, "first choices");
+    one("sequential", "random", 4, "selection");
+    one("class=\"grid\"", "class=\"grit\"", 5, "no class");
+    one("publisher=\"gulf\"", "publisher=\"golf\"", 5, "no publisher");
+    one(" connect=\"127.0.0.1:2905\"", "", 2, "connect and listen");
+    one("number=7", "number=1", 2, "already");
+    one("gw.test", "s1.core.test", 2, "already");
+    assert!(with("exchange point=11\n", "").iter().any(|p| p.contains("point code")));
+}
--- a/crates/day/src/bench.rs
+++ b/crates/day/src/bench.rs
@@ -182,6 +182,7 @@
             report_noise: tier.report_noise,
             tells: vec!["wait".into()],
             link_delay: file.net.same as u64,
+            ..Servers::default()
         },
         classes: classes.collect(),
         publishers: file
--- a/crates/day/src/cast.rs
+++ b/crates/day/src/cast.rs
@@ -6,7 +6,7 @@
 use baydrift::interface::Report;
 use baydrift_audit::ClassTerms;
 use baydrift_config::Config;
-use baydrift_emulator::{CallerSpec, Flow, Offers, ProcessorSpec, ServerSpec, TextSpec};
+use baydrift_emulator::{CallerSpec, FarEndSpec, Flow, Offers, ProcessorSpec, ServerSpec, TextSpec};
 
 use crate::run::DayError;
 use crate::script::{Day, What};
@@ -54,8 +54,26 @@
     for publisher in 0..day.publishers.len() {
         let _ = writeln!(text, "text-client \"{}\" realm=\"test\"", text_mid(ordinal, publisher));
     }
+    if s.trunked > 0 {
+        let _ = writeln!(text, "exchange point={}", front_point(ordinal));
+    }
     for (number, addr) in servers.iter().enumerate() {
         let host = host_of(number);
+        if number >= sessions(day) {
+            let selection = if s.sequential { "sequential" } else { "opposite" };
+            let _ = writeln!(
+                text,
+                "far-end \"{host}\" number={number} point={} connect=\"{addr}\" {{\n    group \"to {host}\" \
+                 first={FIRST_CIRCUIT} circuits={} reserve={} selection=\"{selection}\"\n    incoming \
+                 class=\"{}\" publisher=\"{}\"\n}}",
+                far_point(number),
+                s.circuits,
+                s.reserve,
+                day.classes.first().map_or("", |c| &c.name),
+                day.publishers.first().map_or("", |p| &p.name),
+            );
+            continue;
+        }
         let _ = writeln!(text, "server \"{host}\" realm=\"core.test\" number={number} addr=\"{addr}\"");
     }
     let _ = writeln!(text, "pool listen=\"127.0.0.1:0\" token=\"{TOKEN}\"");
@@ -65,6 +83,48 @@
     text
 }
 
+/// Circuits have their codes from this one on.
+const FIRST_CIRCUIT: u16 = 1;
+
+/// Servers that are reached by Diameter; the others, which come after them, over trunk groups.
+pub(crate) fn sessions(day: &Day) -> usize {
+    day.servers.rates.len() - day.servers.trunked
+}
+
+fn front_point(ordinal: u32) -> u32 {
+    1_000 + ordinal
+}
+
+/// Every other far end has the higher point code, and with it the even circuits.
+fn far_point(number: usize) -> u32 {
+    if number % 2 == 0 {
+        500 + number as u32
+    } else {
+        2_000 + number as u32
+    }
+}
+
+/// The far ends of a day.
+pub(crate) fn far_ends(day: &Day) -> Vec<FarEndSpec> {
+    let s = &day.servers;
+    let share = 1.0 / (s.trunked.max(1) as f64 * f64::from(day.fronts));
+    let class = day.classes.first();
+    let of = |number: usize| FarEndSpec {
+        number: number as u16,
+        host: host_of(number),
+        point: far_point(number),
+        fronts: (0..day.fronts).map(|ordinal| (front_point(ordinal), ordinal)).collect(),
+        first: FIRST_CIRCUIT,
+        circuits: s.circuits,
+        processor: server_spec(day, number).processor,
+        calls_per_second: s.incoming * share,
+        hold: class.map_or(0, |c| c.hold),
+        patience: class.map_or(0, |c| c.gives_up),
+        flow: (0, 0),
+    };
+    (sessions(day)..s.rates.len()).map(of).collect()
+}
+
 pub(crate) fn text_mid(ordinal: u32, publisher: usize) -> String {
     format!("<p{publisher}.text{ordinal}.test>")
 }
--- a/crates/day/src/emulated.rs
+++ b/crates/day/src/emulated.rs
@@ -6,7 +6,7 @@
 use baydrift_emulator::{Command, Fault, Offers, Roughness, World, WorldSpec};
 use baydrift_front::{FrontError, Snapshot};
 
-use crate::cast::{callers, config_of, host_of, linked, server_spec, texts, usual};
+use crate::cast::{callers, config_of, far_ends, host_of, linked, server_spec, sessions, texts, usual};
 use crate::course::{Course, Hands, Pool};
 use crate::run::{aftermath, outcome, policy_of, DayError, Outcome};
 use crate::script::Day;
@@ -89,7 +89,8 @@
     }
     let world = World::new(WorldSpec {
         fronts,
-        servers: (0..day.servers.rates.len()).map(|number| server_spec(day, number)).collect(),
+        servers: (0..sessions(day)).map(|number| server_spec(day, number)).collect(),
+        far_ends: far_ends(day),
         callers: (0..day.fronts).map(|ordinal| callers(day, ordinal)).collect(),
         texts: (0..day.fronts).flat_map(|ordinal| texts(day, ordinal)).collect(),
         offers: usual(day),
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -30,6 +30,9 @@
     /// A stand-in cannot start.
     #[error("a stand-in: {0}")]
     Io(#[from] std::io::Error),
+    /// Far ends of trunk groups stand in virtual time only, so far.
+    #[error("a day with trunked servers is played in virtual time: --virtual")]
+    Trunked,
     /// A front's thread ended by itself.
     #[error("a front ended before its time")]
     Ended,
@@ -166,6 +169,9 @@
 /// # Errors
 /// Where something cannot start.
 pub async fn run(day: &Day, mut progress: impl FnMut(f64, &str)) -> Result<Outcome, DayError> {
+    if day.servers.trunked > 0 {
+        return Err(DayError::Trunked);
+    }
     let recorder = Arc::new(Recorder::default());
     let mut servers = Vec::new();
     for number in 0..day.servers.rates.len() {
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -84,6 +84,16 @@
     pub tells: Vec<String>,
     /// One-way delay of the links to them.
     pub link_delay: Micros,
+    /// So many of them, the last ones, are reached over trunk groups.
+    pub trunked: usize,
+    /// Circuits from each front to each of those.
+    pub circuits: u16,
+    /// Of them, kept back for calls that come there first.
+    pub reserve: u16,
+    /// How fronts choose a circuit.
+    pub sequential: bool,
+    /// Calls a second that those offer to fronts, over all of them.
+    pub incoming: f64,
 }
 
 /// A class of calls.
@@ -242,6 +252,11 @@
             report_noise: 0.1,
             tells: vec!["wait".into()],
             link_delay: 0,
+            trunked: 0,
+            circuits: 30,
+            reserve: 0,
+            sequential: false,
+            incoming: 0.0,
         }
     }
 }
@@ -278,6 +293,12 @@
     for (key, to) in times {
         *to = node.time(key, 0..=HOUR).unwrap_or(*to);
     }
+    servers.trunked = node.whole("trunked", 0..=servers.rates.len() as u64).unwrap_or(0) as usize;
+    servers.circuits = node.whole("circuits", 1..=4_000).unwrap_or(u64::from(servers.circuits)) as u16;
+    let most = u64::from(servers.circuits) - 1;
+    servers.reserve = node.whole("reserve", 0..=most).unwrap_or(0) as u16;
+    servers.sequential = node.flag("sequential").unwrap_or(false);
+    servers.incoming = node.number("incoming", 0.0..=1e6).unwrap_or(0.0);
     if let Some(tells) = node.text("tells") {
         servers.tells = tells.split_whitespace().map(str::to_owned).collect();
         if let Some(other) =
--- /dev/null
+++ b/crates/day/tests/trunks.rs
@@ -0,0 +1,60 @@
+//! Days with trunk groups in virtual time: both ends offer calls over the same circuits, and the five rules hold.
+
+mod planting;
+
+use baydrift_audit::{Excuse, Moment};
+use baydrift_day::{drawn, parse, run, run_virtual, Day, DayError, Outcome};
+
+fn day(seed: u64) -> Day {
+    Day { seed, ..parse("trunks.kdl", include_str!("../../../days/trunks.kdl")).expect("a script") }
+}
+
+fn play(day: &Day) -> Outcome {
+    run_virtual(day, |_, _| {}).expect("a day")
+}
+
+#[test]
+fn the_rules_hold_on_calls_over_trunks() {
+    for seed in 1..=3 {
+        for day in [day(seed), drawn(&day(seed))] {
+            let verdict = play(&day).verdict;
+            assert!(verdict.kept(), "seed {seed}, {:?}: {:?}", day.troubles, verdict.breaches);
+            // All that is excused shows its reason in the record.
+            let known = [Excuse::Parted, Excuse::Held, Excuse::Stalled, Excuse::RecordEnds];
+            assert!(verdict.excused.keys().all(|why| known.contains(why)), "{:?}", verdict.excused);
+        }
+    }
+}
+
+#[test]
+fn calls_go_both_ways_over_the_same_circuits() {
+    let outcome = play(&Day { troubles: Vec::new(), ..day(1) });
+    let (mut there, mut from_there, mut stand) = (0, 0, 0);
+    for line in &outcome.lines {
+        match &line.moment {
+            Moment::SetUp { server, .. } if *server >= 2 => there += 1,
+            Moment::Offer { call, .. } if call.starts_with("s2.") || call.starts_with("s3.") => {
+                from_there += 1
+            }
+            Moment::Answer { call, code: 2001, .. } if call.starts_with("s") => stand += 1,
+            _ => {}
+        }
+    }
+    assert!(there > 200 && from_there > 200 && stand > from_there / 2, "{there} {from_there} {stand}");
+    assert!(outcome.verdict.kept() && outcome.verdict.excused.is_empty(), "{:?}", outcome.verdict.excused);
+}
+
+#[test]
+fn equal_days_give_equal_records() {
+    assert_eq!(play(&day(4)).lines, play(&day(4)).lines);
+}
+
+#[test]
+fn a_breach_planted_in_a_day_over_trunks_is_found() {
+    planting::every_planted_breach_is_found(play(&day(5)).lines);
+}
+
+#[tokio::test]
+async fn sockets_say_that_they_cannot_play_it_yet() {
+    assert!(matches!(run(&day(1), |_, _| {}).await, Err(DayError::Trunked)));
+}
--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -13,14 +13,24 @@
 use baydrift_config::Config;
 use baydrift_diameter::credit::{self, Ccr, Ends, RequestType};
 use baydrift_diameter::{code, dict, load, result, Avp, Fault, Message, Remote};
+use baydrift_isup::Data;
+use baydrift_signalling::Office;
+use baydrift_trunk::decide::Claim;
+use baydrift_trunk::{CallKey, Setup};
 use tracing::{debug, debug_span, Span};
 
 use crate::doors::Opened;
-use crate::facts::Table;
-use crate::meaning::{code_of, end_of};
+use crate::facts::{number_of, Table};
+use crate::meaning::{cause_of, code_of, end_of};
 use crate::pool::{PoolError, PoolList, Roster};
 use crate::text::{Step, Text, Told};
 use crate::transit::Kind;
+use crate::trunk::{News, Offered, TrunkSide};
+
+/// Longest number of an IAM.
+const DIGITS_MAX: usize = 32;
+/// Longest user-to-user information (Q.763, 3.60).
+const REFERENCE_MAX: usize = 129;
 
 /// Room that is made for what a caller's CCR adds to a set-up.
 const USUAL: usize = 24;
@@ -104,6 +114,12 @@
     },
     /// A connection of text commands is gone.
     TextGone(LinkId),
+    /// The signalling link to a far end, by its point code, may be used.
+    TrunkUp(u32),
+    /// It is gone.
+    TrunkDown(u32),
+    /// A packet came by it.
+    Trunk(Data),
     /// A message from another front.
     Fleet {
         /// Its ordinal.
@@ -147,6 +163,13 @@
         /// The text.
         text: Arc<str>,
     },
+    /// A packet to a far end.
+    ToFarEnd {
+        /// Its point code.
+        point: u32,
+        /// The packet.
+        data: Data,
+    },
     /// An answer to a server's request.
     Reply {
         /// The server.
@@ -240,6 +263,7 @@
     pub(crate) boot: u32,
     pub(crate) table: Table,
     pub(crate) text: Text,
+    trunk: TrunkSide,
     roster: Roster,
     /// Origin-Host and Origin-Realm of this front.
     origin: [Avp; 2],
@@ -283,7 +307,12 @@
 
     fn with_engine(config: &Config, boot: u32, mut engine: Engine<Payload>) -> Self {
         engine.handle(0, Input::List(ListKind::Full, Roster::first(config)), &mut Vec::new());
+        let trunk = TrunkSide::new(config);
+        for (link, owner) in trunk.links() {
+            engine.handle(0, Input::ClientUp { link, owner, restarted: false }, &mut Vec::new());
+        }
         Self {
+            trunk,
             host: config.host.clone(),
             realm: config.realm.clone(),
             boot,
@@ -347,15 +376,31 @@
             DeskInput::ServerRequest { server, message } => self.server_request(now, server, &message, out),
             DeskInput::Text { link, reliable, bytes } => self.text_heard(now, link, reliable, &bytes, out),
             DeskInput::TextGone(link) => self.text_gone(now, link, out),
+            DeskInput::TrunkUp(point) => self.trunk_link(now, point, true, out),
+            DeskInput::TrunkDown(point) => self.trunk_link(now, point, false, out),
+            DeskInput::Trunk(data) => self.faults += u64::from(!self.trunk.heard(now, &data)),
             DeskInput::Fleet { from, payload } => self.engine(now, Input::Peer { from, payload }, out),
             DeskInput::Tick => {
                 self.engine(now, Input::Tick, out);
                 self.text_tick(now, out);
+                self.trunk.tick(now);
             }
             DeskInput::Stop => self.engine(now, Input::Stop, out),
             DeskInput::CutAll => self.engine(now, Input::CutAll, out),
         }
-        self.text_steps(now, out);
+        self.settle(now, out);
+    }
+
+    /// All that counters still have for the engine, until nothing is left.
+    fn settle(&mut self, now: Micros, out: &mut Vec<DeskOutput>) {
+        loop {
+            self.text_steps(now, out);
+            out.extend(
+                self.trunk.packets.drain(..).map(|(point, data)| DeskOutput::ToFarEnd { point, data }),
+            );
+            let Some(news) = self.trunk.news.pop_front() else { return };
+            self.trunk_news(now, news, out);
+        }
     }
 
     /// What is heard from now on may have waited so long to be read, since this process stood still: its callers'
@@ -371,6 +416,7 @@
     pub fn pool(&mut self, now: Micros, list: &PoolList, out: &mut Vec<DeskOutput>) -> Result<(), PoolError> {
         let (kind, entries) = self.roster.take(now, list)?;
         self.engine(now, Input::List(kind, entries), out);
+        self.settle(now, out);
         Ok(())
     }
 
@@ -378,7 +424,7 @@
     pub fn next_wake(&self) -> Option<Micros> {
         let text =
             self.text.clients.values().flat_map(|client| [client.exchange.due(), client.leaves_at]).flatten();
-        self.engine.next_wake().into_iter().chain(text).min()
+        self.engine.next_wake().into_iter().chain(text).chain(self.trunk.next_wake()).min()
     }
 
     /// What the engine has counted.
@@ -396,6 +442,11 @@
         self.faults
     }
 
+    /// Its exchange.
+    pub fn office(&self) -> &Office {
+        self.trunk.office()
+    }
+
     /// What is held.
     pub fn held(&self) -> Held {
         Held {
@@ -525,6 +576,83 @@
         (boot == self.boot && parts.next()? == self.host).then_some(AttemptId(attempt))
     }
 
+    // --- trunks ---
+
+    fn trunk_link(&mut self, now: Micros, point: u32, up: bool, out: &mut Vec<DeskOutput>) {
+        let Some(server) = self.trunk.server_at(point) else { return };
+        if up {
+            self.trunk.reachable(now, point, true);
+            // Whether its processor restarted is not told by a link: it may be cold.
+            self.link(now, server, LinkState::Up(Process::Unknown), out);
+            // What the engine gave up while the far end was out of reach still has its circuit at both ends.
+            for (attempt, server) in self.trunk.attempts() {
+                if !self.engine.holds(attempt) {
+                    self.trunk.release(now, attempt, server);
+                }
+            }
+        } else {
+            self.link(now, server, LinkState::Down, out);
+            self.trunk.reachable(now, point, false);
+        }
+    }
+
+    fn trunk_news(&mut self, now: Micros, news: News, out: &mut Vec<DeskOutput>) {
+        let input = match news {
+            News::Stands(attempt, report) => Input::Stands { attempt, report },
+            News::Ended(attempt, end) => Input::Ended { attempt, end },
+            News::Over(attempt, report) => Input::Cut { attempt, report },
+            News::Released(attempt, report) => Input::ReleaseDone { attempt, report },
+            News::Offered(offered) => Input::Offered(self.offer_of_trunk(&offered)),
+            News::Left(call, request) => {
+                let owner = self.trunk.links().find(|(link, _)| *link == request.link).map(|(_, host)| host);
+                let Some(owner) = owner else { return };
+                Input::Released { session: self.session_of_trunk(owner, call), request }
+            }
+        };
+        self.engine(now, input, out);
+    }
+
+    /// A name that is this process's own: what a far end says of its calls may repeat.
+    fn session_of_trunk(&self, owner: Arc<str>, call: CallKey) -> Session {
+        Session { owner, id: Arc::from(format!("{};{}", self.boot, call.0)) }
+    }
+
+    /// A far end's call, said as a client's would be.
+    fn offer_of_trunk(&self, offered: &Offered) -> Offer<Payload> {
+        let Offered { call, request, far, number, reference, what } = offered;
+        let session = self.session_of_trunk(self.trunk.host(*far), *call);
+        let class = self.table.class(what.class);
+        let ends =
+            Ends { host: &self.host, realm: &self.realm, to_realm: self.table.first_realm(), to_host: None };
+        let mut message = credit::request(ends, &session.id, class.0, RequestType::Initial, 0);
+        if !number.is_empty() {
+            message.push(Avp::text(dict::CALLED_STATION_ID, number));
+        }
+        let span = debug_span!("call", session = &*session.id);
+        Offer {
+            session,
+            request: *request,
+            class: what.class,
+            tenant: what.publisher,
+            number: number_of(number),
+            first_choice: None,
+            gives_up_in: class.1.saturating_sub(self.waited),
+            redial: None,
+            was_cut: false,
+            payload: Payload { request: Arc::new(message), name: reference.clone(), span },
+        }
+    }
+
+    /// What an IAM says of a set-up: the number, and both names of it for who reads the far end's records.
+    fn seizure(&self, attempt: AttemptId, session: &Session, payload: &Payload) -> Setup {
+        let called = payload.request.text(dict::CALLED_STATION_ID).unwrap_or("");
+        let number = called.bytes().filter(u8::is_ascii_digit).take(DIGITS_MAX).map(|digit| digit - b'0');
+        let mut reference =
+            format!("{} {}", self.session_of(attempt), name_of(session, payload)).into_bytes();
+        reference.truncate(REFERENCE_MAX);
+        Setup { number: number.collect(), reference: Arc::from(reference) }
+    }
+
     // --- the engine ---
 
     pub(crate) fn engine(&mut self, now: Micros, input: Input<Payload>, out: &mut Vec<DeskOutput>) {
@@ -536,13 +664,25 @@
             self.engine.hear(now, input, &mut outputs);
         }
         for output in outputs.drain(..) {
-            self.carry_out(output, out);
+            self.carry_out(now, output, out);
         }
         self.outputs = outputs;
     }
 
-    fn carry_out(&mut self, output: Output<Payload>, out: &mut Vec<DeskOutput>) {
+    fn carry_out(&mut self, now: Micros, output: Output<Payload>, out: &mut Vec<DeskOutput>) {
         match output {
+            Output::SetUp { attempt, server, call, index, session, payload, .. }
+                if self.trunk.leads_to(server) =>
+            {
+                payload.span.in_scope(|| debug!(call, index, server, attempt = attempt.0, "seize"));
+                let setup = self.seizure(attempt, &session, &payload);
+                // Circuits that are kept back are for calls that come here first.
+                let claim = if index == 0 { Claim::First } else { Claim::Overflow };
+                self.trunk.set_up(now, attempt, server, setup, claim);
+            }
+            Output::Release { attempt, server, .. } if self.trunk.leads_to(server) => {
+                self.trunk.release(now, attempt, server);
+            }
             Output::SetUp { attempt, server, call, index, class, session, payload } => {
                 payload.span.in_scope(|| debug!(call, index, server, attempt = attempt.0, "set up"));
                 let message = self.set_up(attempt, server, class, &session, &payload);
@@ -552,7 +692,10 @@
                 let message = self.ccr(attempt, server, class, &self.fixed.termination);
                 out.push(DeskOutput::ToServer { server, attempt, kind: Kind::Release, message });
             }
-            Output::Answer { request, session: _, answer } => self.answer(request, answer, out),
+            Output::Answer { request, session: _, answer } => match self.trunk.asked_by(request) {
+                Some(call) => self.trunk.answer(now, call, cause_of(answer)),
+                None => self.answer(request, answer, out),
+            },
             Output::AnswerRelease { request, result, .. } => {
                 if let Some((link, id)) = self.text.waiting.remove(&request) {
                     return self.text.steps.push_back(Step::Told(link, id, Told::Released(result)));
@@ -570,6 +713,11 @@
                 self.text.waiting.remove(&request);
                 self.tickets.remove(&request);
             }
+            Output::Cut { link, session, .. } if self.trunk.call_of(link, &session.id).is_some() => {
+                if let Some(call) = self.trunk.call_of(link, &session.id) {
+                    self.trunk.cut(now, call);
+                }
+            }
             Output::Cut { link, session, .. } if self.text.clients.contains_key(&link) => {
                 self.text.steps.push_back(Step::Cut(link, session));
             }
@@ -637,14 +785,17 @@
             .avps
             .extend(asked.avps.iter().filter(|a| a.vendor != 0 || !OF_ONE_HOP.contains(&a.code)).cloned());
         message.push(Avp::text(dict::ROUTE_RECORD, &session.owner));
-        let id = payload.name.as_ref().unwrap_or(&session.id);
-        let name = [session.owner.as_bytes(), b"|", id.as_bytes()].concat();
-        message.push(Avp::new(dict::CC_CORRELATION_ID, name));
+        message.push(Avp::new(dict::CC_CORRELATION_ID, name_of(session, payload).into_bytes()));
         message.push(self.fixed.features.clone());
         message
     }
 }
 
+/// A call's name at both ends: its owner, and the caller's own name for it.
+fn name_of(session: &Session, payload: &Payload) -> String {
+    format!("{}|{}", session.owner, payload.name.as_ref().unwrap_or(&session.id))
+}
+
 /// What a client's request asks of the engine.
 fn read_request(
     table: &Table,
--- a/crates/desk/src/facts.rs
+++ b/crates/desk/src/facts.rs
@@ -29,6 +29,8 @@
     serves: Vec<String>,
     contexts: BTreeMap<String, usize>,
     gives_up: Vec<Micros>,
+    /// First Service-Context-Id of each class.
+    first_contexts: Vec<String>,
     realms: BTreeMap<String, usize>,
     subscriptions: Vec<(String, usize)>,
     servers: BTreeMap<String, u16>,
@@ -51,14 +53,25 @@
             host: config.host.clone(),
             serves: config.serves.clone(),
             contexts,
+            first_contexts: config
+                .classes
+                .iter()
+                .map(|class| class.contexts.first().cloned().unwrap_or_default())
+                .collect(),
             gives_up: config.classes.iter().map(|class| class.gives_up).collect(),
             realms,
             subscriptions,
-            servers: config.servers.iter().map(|server| (server.host.clone(), server.number)).collect(),
+            servers: config.members().map(|(host, number, _)| (host.to_owned(), number)).collect(),
             publishers: config.publishers.len(),
         }
     }
 
+    /// A class by its index: a Service-Context-Id of it, and when its callers give up.
+    pub(crate) fn class(&self, class: usize) -> (&str, Micros) {
+        let context = self.first_contexts.get(class).map_or("", String::as_str);
+        (context, self.gives_up.get(class).copied().unwrap_or(0))
+    }
+
     /// The realm of calls that name none.
     pub(crate) fn first_realm(&self) -> &str {
         self.serves.first().map_or("", String::as_str)
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -15,6 +15,7 @@
 mod stalls;
 mod text;
 mod transit;
+mod trunk;
 
 pub use desk::{Desk, DeskInput, DeskOutput, Held};
 pub use doors::{Doors, Opened};
--- a/crates/desk/src/meaning.rs
+++ b/crates/desk/src/meaning.rs
@@ -4,6 +4,7 @@
 use baydrift::interface::{Note, Outcome};
 use baydrift_call::{AttemptEnd, Final};
 use baydrift_diameter::{load, result, Message};
+use baydrift_trunk::route::cause;
 
 /// How a set-up ended by its answer; `None` when it stands.
 pub fn end_of(answer: &Message) -> Option<AttemptEnd> {
@@ -29,3 +30,12 @@
         Final::Failed => (result::UNABLE_TO_COMPLY, Some("failed")),
     }
 }
+
+/// The cause value with which a far end's call is released by its final answer; `None` when it stands.
+pub fn cause_of(answer: Final) -> Option<u8> {
+    match answer {
+        Final::Stands => None,
+        Final::Refused { .. } => Some(cause::SWITCHING_CONGESTION),
+        Final::Failed => Some(cause::TEMPORARY_FAILURE),
+    }
+}
--- a/crates/desk/src/pool.rs
+++ b/crates/desk/src/pool.rs
@@ -55,19 +55,19 @@
 
 impl Roster {
     pub(crate) fn new(config: &Config) -> Self {
-        let numbers = config.servers.iter().map(|server| (server.host.clone(), server.number)).collect();
+        let numbers = config.members().map(|(host, number, _)| (host.to_owned(), number)).collect();
         Self { numbers, version: None }
     }
 
     /// The configured pool, to start from.
     pub(crate) fn first(config: &Config) -> Vec<Entry> {
-        let entry = |server: &baydrift_config::Server| Entry {
-            server: u64::from(server.number),
-            number: server.number,
-            state: server.state,
+        let entry = |(_, number, state): (&str, u16, ServerState)| Entry {
+            server: u64::from(number),
+            number,
+            state,
             started_at: None,
         };
-        config.servers.iter().map(entry).collect()
+        config.members().map(entry).collect()
     }
 
     /// A pushed list as entries; all of it or nothing.
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod agenda;
 mod caller;
+mod far_end;
 mod front;
 mod link;
 mod offers;
@@ -18,6 +19,7 @@
 mod world;
 
 pub use caller::{CallerInput, CallerOutput, CallerSpec, Callers};
+pub use far_end::{FarEnd, FarEndSpec, FarInput, FarOutput};
 pub use link::Fault;
 pub use offers::{Flow, Offers};
 pub use processor::{Processor, ProcessorSpec, Taken, Work};
--- a/crates/emulator/src/link.rs
+++ b/crates/emulator/src/link.rs
@@ -4,6 +4,7 @@
 
 use baydrift::interface::Micros;
 use baydrift_diameter::Message;
+use baydrift_isup::Data;
 
 /// What a link does to what crosses it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -27,6 +28,8 @@
     Connected,
     /// A message.
     Message(Box<Message>),
+    /// A packet of signalling.
+    Packet(Data),
     /// The other end closed it, or it never came about.
     Closed,
 }
@@ -42,6 +45,10 @@
     Callers(usize),
     /// A front's link of a client.
     FrontClient(usize),
+    /// A far end of trunk groups.
+    Far(usize),
+    /// A front's signalling link to it.
+    FrontFar(usize, usize),
 }
 
 /// One transport.
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -15,6 +15,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::caller::{CallerInput, CallerOutput, CallerSpec, Callers};
+use crate::far_end::{FarEnd, FarEndSpec, FarInput, FarOutput};
 use crate::front::{Did, Front, ToCore};
 use crate::link::{Conns, End, Fault, Parcel, BACK, THERE};
 use crate::offers::Offers;
@@ -48,6 +49,8 @@
     pub fronts: Vec<(Config, Option<Box<dyn Policy>>)>,
     /// Session servers, in the order of the fronts' configurations.
     pub servers: Vec<ServerSpec>,
+    /// Far ends of trunk groups, in that order. Where servers go by place they come after those.
+    pub far_ends: Vec<FarEndSpec>,
     /// Diameter callers.
     pub callers: Vec<(CallerSpec, u64)>,
     /// Text callers.
@@ -75,6 +78,8 @@
     Core(usize),
     ToServer(usize, usize),
     ToClient(usize, LinkId),
+    Far(usize),
+    ToFar(usize, usize),
 }
 
 #[derive(Debug)]
@@ -84,6 +89,8 @@
     Arrive(u64, usize, u32, Parcel),
     /// A server's or client's attempt to connect gets there.
     Connecting(u64),
+    /// A front dials a far end again.
+    Redial(usize, usize),
     /// A link went down: its transport closes at this end.
     Severed(u64, usize),
     Core(usize, Box<ToCore>),
@@ -101,6 +108,8 @@
     queue: Queue<Event>,
     fronts: Vec<Front>,
     servers: Vec<SessionServer>,
+    /// Far ends, and their point codes.
+    fars: Vec<(FarEnd, u32)>,
     callers: Vec<Callers>,
     /// Text callers, and their front.
     texts: Vec<(TextCallers, usize, String)>,
@@ -135,6 +144,7 @@
             queue: Queue::default(),
             fronts,
             servers: Vec::new(),
+            fars: Vec::new(),
             callers: Vec::new(),
             texts: Vec::new(),
             conns: Conns::default(),
@@ -153,6 +163,11 @@
             let seed = world.rng.random();
             world.servers.push(SessionServer::new(server, addresses.clone(), seed));
         }
+        for far in spec.far_ends {
+            world.record(Moment::Start { server: far.number, cold: false });
+            let (seed, point) = (world.rng.random(), far.point);
+            world.fars.push((FarEnd::new(far, seed), point));
+        }
         for (caller, seed) in spec.callers {
             world.callers.push(Callers::new(caller, offers.clone(), seed));
         }
@@ -167,6 +182,9 @@
             for server in 0..world.fronts[front].servers.len() {
                 world.server_input(front, server, PeerInput::Start);
             }
+            for far in 0..world.fars.len() {
+                world.connect(End::FrontFar(front, far), End::Far(far));
+            }
             world.arm(Node::Core(front));
         }
         (0..world.servers.len()).for_each(|server| world.arm(Node::Server(server)));
@@ -177,6 +195,7 @@
     pub fn begin(&mut self) {
         (0..self.callers.len()).for_each(|callers| self.arm(Node::Callers(callers)));
         (0..self.texts.len()).for_each(|text| self.arm(Node::Text(text)));
+        (0..self.fars.len()).for_each(|far| self.far(far, FarInput::Offer(1.0)));
     }
 
     /// The clock.
@@ -221,12 +240,20 @@
 
     /// A trouble of a server.
     pub fn command(&mut self, server: usize, command: Command) {
-        self.server(server, ServerInput::Command(command));
+        match server.checked_sub(self.servers.len()) {
+            Some(far) => self.far(far, FarInput::Command(command)),
+            None => self.server(server, ServerInput::Command(command)),
+        }
     }
 
     /// Changes what the link to a server does.
     pub fn set_link(&mut self, server: usize, fault: Fault) {
         let Some(old) = self.faults.insert(server, fault) else { return };
+        let far = server.checked_sub(self.servers.len()).and_then(|far| self.fars.get(far));
+        if let (Some((far, _)), true) = (far, old.stalled_back != fault.stalled_back) {
+            let (client, held) = (far.host().to_owned(), fault.stalled_back);
+            self.record(Moment::Held { client, held });
+        }
         if fault.down && !old.down {
             for (id, _) in self.conns.down(server) {
                 for end in [0, 1] {
@@ -254,6 +281,15 @@
                 text.offer_so(offers.clone());
             }
         }
+        // A far end has one flow for all fronts: it changes with the first one's.
+        if front.is_none_or(|front| front == 0) {
+            (0..self.fars.len()).for_each(|far| self.far(far, FarInput::Offer(offers.factor)));
+        }
+    }
+
+    /// A far end, for its counts.
+    pub fn far_end(&self, far: usize) -> Option<&FarEnd> {
+        self.fars.get(far).map(|(far, _)| far)
     }
 
     /// A front's whole process stands still.
@@ -297,14 +333,15 @@
 
     fn front_of(&self, event: &Event) -> Option<usize> {
         let of_end = |end: End| match end {
-            End::FrontServer(front, _) | End::FrontClient(front) => Some(front),
-            End::Server(_) | End::Callers(_) => None,
+            End::FrontServer(front, _) | End::FrontClient(front) | End::FrontFar(front, _) => Some(front),
+            End::Server(_) | End::Callers(_) | End::Far(_) => None,
         };
         match event {
             Event::Wake(Node::Core(front) | Node::ToServer(front, _) | Node::ToClient(front, _)) => {
                 Some(*front)
             }
             Event::Core(front, _) | Event::Out(front, _) | Event::List(front, ..) => Some(*front),
+            Event::Redial(front, _) => Some(*front),
             Event::Datagram(text, true, _) => self.texts.get(*text).map(|(_, front, _)| *front),
             Event::Arrive(id, direction, ..) => {
                 let conn = self.conns.get(*id)?;
@@ -335,6 +372,9 @@
             Event::Wake(node) => self.wake(node),
             Event::Arrive(id, direction, epoch, parcel) => self.arrive(id, direction, epoch, parcel),
             Event::Connecting(id) => self.connecting(id),
+            Event::Redial(front, far) => {
+                self.connect(End::FrontFar(front, far), End::Far(far));
+            }
             Event::Severed(id, end) => {
                 let Some(conn) = self.conns.get(id).filter(|conn| conn.open[end]) else { return };
                 let at = if end == 0 { conn.initiator } else { conn.responder };
@@ -359,6 +399,8 @@
             Node::Core(front) => self.fronts[front].core_due(),
             Node::ToServer(front, server) => self.fronts[front].server_due(server),
             Node::ToClient(front, link) => self.fronts[front].client_due(link),
+            Node::Far(far) => self.fars.get(far).map_or(Micros::MAX, |(far, _)| far.due()),
+            Node::ToFar(..) => Micros::MAX,
         }
     }
 
@@ -388,6 +430,8 @@
             Node::Core(front) => self.core(front, None),
             Node::ToServer(front, server) => self.server_input(front, server, PeerInput::Tick),
             Node::ToClient(front, link) => self.client_input(front, link, PeerInput::Tick),
+            Node::Far(far) => self.far(far, FarInput::Tick),
+            Node::ToFar(..) => {}
         }
     }
 
@@ -424,6 +468,7 @@
     fn connect(&mut self, initiator: End, responder: End) -> u64 {
         let link = match responder {
             End::Server(server) if self.faults.contains_key(&server) => Some(server),
+            End::Far(far) => Some(self.servers.len() + far).filter(|place| self.faults.contains_key(place)),
             _ => None,
         };
         let id = self.conns.open(initiator, responder, link);
@@ -442,8 +487,10 @@
                 let link = self.fronts[front].accepted(id);
                 link.is_some()
             }
-            End::FrontServer(..) | End::Callers(_) => false,
+            End::Far(far) => !down && self.fars.get(far).is_some_and(|(far, _)| far.listens()),
+            End::FrontServer(..) | End::Callers(_) | End::FrontFar(..) => false,
         };
+        let initiator = conn.initiator;
         if !there || !open {
             self.post(id, BACK, Parcel::Closed);
             self.conns.close(id, 1);
@@ -453,6 +500,9 @@
         if let End::Server(server) = responder {
             self.server(server, ServerInput::Accepted(id));
         }
+        if let (End::Far(far), End::FrontFar(front, _)) = (responder, initiator) {
+            self.far(far, FarInput::Up(front as u32));
+        }
     }
 
     fn arrive(&mut self, id: u64, direction: usize, epoch: u32, parcel: Parcel) {
@@ -467,7 +517,20 @@
             Parcel::Connected => match at {
                 End::FrontServer(front, server) => self.server_input(front, server, PeerInput::Connected),
                 End::Callers(callers) => self.caller(callers, CallerInput::Connected),
-                End::Server(_) | End::FrontClient(_) => {}
+                End::FrontFar(front, far) => {
+                    let point = self.fars[far].1;
+                    self.tell_core(front, Node::ToFar(front, far), DeskInput::TrunkUp(point));
+                }
+                End::Server(_) | End::FrontClient(_) | End::Far(_) => {}
+            },
+            Parcel::Packet(data) => match (at, conn.initiator) {
+                (End::Far(far), End::FrontFar(front, _)) => {
+                    self.far(far, FarInput::Received(front as u32, data));
+                }
+                (End::FrontFar(front, far), _) => {
+                    self.tell_core(front, Node::ToFar(front, far), DeskInput::Trunk(data));
+                }
+                _ => {}
             },
             Parcel::Message(message) => self.message(id, at, *message),
             Parcel::Closed => {
@@ -492,6 +555,7 @@
                 self.fronts[front].client_message(now, link, message, &mut self.rng, &mut did);
                 self.did(front, Node::ToClient(front, link), did);
             }
+            End::Far(_) | End::FrontFar(..) => {}
         }
     }
 
@@ -511,6 +575,24 @@
                     self.client_input(front, link, PeerInput::Disconnected(Side::Responder));
                 }
             }
+            End::Far(far) => {
+                // Both ends let go: which front's link it was shows by what is left.
+                let left = self.conns.of(End::Far(far));
+                let fronts = left.iter().filter_map(|id| match self.conns.get(*id)?.initiator {
+                    End::FrontFar(front, _) => Some(front),
+                    _ => None,
+                });
+                let fronts: BTreeSet<_> = fronts.collect();
+                for front in (0..self.fronts.len()).filter(|front| !fronts.contains(front)) {
+                    self.far(far, FarInput::Down(front as u32));
+                }
+            }
+            End::FrontFar(front, far) => {
+                let point = self.fars[far].1;
+                self.tell_core(front, Node::ToFar(front, far), DeskInput::TrunkDown(point));
+                let at = self.queue.now() + REDIAL + self.turn();
+                self.queue.at(at, Event::Redial(front, far));
+            }
         }
     }
 
@@ -535,6 +617,34 @@
         self.arm(Node::Server(server));
     }
 
+    fn far(&mut self, far: usize, input: FarInput) {
+        let now = self.queue.now();
+        let mut out = Vec::new();
+        let Some((model, _)) = self.fars.get_mut(far) else { return };
+        model.handle(now, input, &mut out);
+        for output in out {
+            match output {
+                FarOutput::Send(front, data) => {
+                    let to = End::FrontFar(front as usize, far);
+                    let ids = self.conns.of(End::Far(far));
+                    let id = ids
+                        .into_iter()
+                        .rev()
+                        .find(|id| self.conns.get(*id).is_some_and(|conn| conn.initiator == to));
+                    if let Some(id) = id {
+                        self.post(id, BACK, Parcel::Packet(data));
+                    }
+                }
+                FarOutput::Record(moment) => self.record(moment),
+                FarOutput::Stopped => {
+                    self.conns.of(End::Far(far)).into_iter().for_each(|id| self.close(id, 1));
+                }
+                FarOutput::Started => {}
+            }
+        }
+        self.arm(Node::Far(far));
+    }
+
     fn caller(&mut self, callers: usize, input: CallerInput) {
         let now = self.queue.now();
         let mut out = Vec::new();
@@ -611,6 +721,12 @@
         self.did(front, Node::ToClient(front, link), did);
     }
 
+    /// A link's task tells the core something.
+    fn tell_core(&mut self, front: usize, task: Node, input: DeskInput) {
+        let at = self.queued(front, Some(task), true);
+        self.queue.at(at, Event::Core(front, Box::new(ToCore::Desk(input))));
+    }
+
     /// Carries out what a link's task did.
     fn did(&mut self, front: usize, task: Node, did: Vec<Did>) {
         let (end, direction) = if matches!(task, Node::ToServer(..)) { (0, THERE) } else { (1, BACK) };
@@ -623,10 +739,7 @@
                 (Did::Connect, _) => {}
                 (Did::Send(id, message), _) => self.send(id, direction, message),
                 (Did::Close(id), _) => self.close(id, end),
-                (Did::Tell(input), _) => {
-                    let at = self.queued(front, Some(task), true);
-                    self.queue.at(at, Event::Core(front, Box::new(ToCore::Desk(input))));
-                }
+                (Did::Tell(input), _) => self.tell_core(front, task, input),
             }
         }
         self.arm(task);
@@ -643,6 +756,10 @@
                 DeskOutput::ToServer { server, .. } | DeskOutput::Reply { server, .. } => {
                     self.fronts[front].place(*server).map(|server| Node::ToServer(front, server))
                 }
+                DeskOutput::ToFarEnd { point, .. } => {
+                    let far = self.fars.iter().position(|(_, other)| other == point);
+                    far.map(|far| Node::ToFar(front, far))
+                }
                 DeskOutput::Text { .. } | DeskOutput::ToFront { .. } => None,
             };
             let at = self.queued(front, task, false);
@@ -664,6 +781,12 @@
                 self.fronts[front].out_to_server(output, &mut did);
                 self.did(front, Node::ToServer(front, place), did);
             }
+            DeskOutput::ToFarEnd { point, data } => {
+                let Some(far) = self.fars.iter().position(|(_, other)| *other == point) else { return };
+                if let Some(id) = self.conns.of(End::FrontFar(front, far)).last().copied() {
+                    self.post(id, THERE, Parcel::Packet(data));
+                }
+            }
             DeskOutput::Text { link, text } => {
                 if let Some(place) = (0..self.texts.len()).find(|place| text_link(*place) == link) {
                     self.relay(place, false, text);
@@ -680,6 +803,9 @@
     }
 }
 
+/// A front dials a far end again after this.
+const REDIAL: Micros = 100_000;
+
 /// The link of a text caller's address, apart from Diameter's.
 fn text_link(text: usize) -> LinkId {
     LinkId((1 << 32) + text as u64)
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -8,6 +8,7 @@
 use baydrift_call::{AttemptId, LinkId};
 use baydrift_desk::{Desk, DeskInput, DeskOutput, Kind, Opened, PoolError, PoolList, Stalls, CATCH_UP};
 use baydrift_diameter::Message;
+use baydrift_isup::Data;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
 use tracing::{info, warn};
@@ -54,6 +55,8 @@
     clients: BTreeMap<LinkId, mpsc::Sender<ToLink>>,
     servers: BTreeMap<ServerId, mpsc::Sender<ToLink>>,
     texts: BTreeMap<LinkId, mpsc::Sender<Arc<str>>>,
+    /// Signalling links, by the far end's point code.
+    fars: BTreeMap<u32, mpsc::Sender<Data>>,
     datagrams: Option<mpsc::Sender<Datagram>>,
     fleet: Option<Arc<UdpSocket>>,
     out: Vec<DeskOutput>,
@@ -66,6 +69,7 @@
     desk: Desk,
     mut inputs: mpsc::Receiver<ToCore>,
     servers: BTreeMap<ServerId, mpsc::Sender<ToLink>>,
+    fars: BTreeMap<u32, mpsc::Sender<Data>>,
     datagrams: Option<mpsc::Sender<Datagram>>,
     fleet: Option<Arc<UdpSocket>>,
 ) {
@@ -77,6 +81,7 @@
         clients: BTreeMap::new(),
         servers,
         texts: BTreeMap::new(),
+        fars,
         datagrams,
         fleet,
         out: Vec::new(),
@@ -192,6 +197,10 @@
                     (None, Some(datagrams)) => drop(datagrams.try_send((link, text))),
                     (None, None) => {}
                 },
+                // Without room it is lost, as a network loses some: the far end does not read, and timers say it again.
+                DeskOutput::ToFarEnd { point, data } => {
+                    drop(self.fars.get(&point).map(|to| to.try_send(data)));
+                }
                 DeskOutput::Reply { server, message } => send(&self.servers, server, ToLink::Send(message)),
                 DeskOutput::ToFront { to, payload } => {
                     if let (Some(socket), Some(config)) = (&self.fleet, &self.shared.config.fleet) {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,6 +12,7 @@
 mod link;
 mod pool;
 mod server;
+mod signalling;
 mod text;
 
 use std::collections::BTreeMap;
@@ -21,8 +22,8 @@
 
 use baydrift::interface::Micros;
 use baydrift_call::{Counts, EngineError, LinkId, Policy};
-use baydrift_config::Config;
-use baydrift_desk::{local, Desk, Doors, Held};
+use baydrift_config::{Config, Dial};
+use baydrift_desk::{local, Desk, DeskInput, Doors, Held};
 use baydrift_diameter::{Codec, Local, Message};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -30,8 +31,10 @@
 use tracing::{info, warn};
 
 use crate::core::ToCore;
+use crate::signalling::Linked;
 
-pub use exchange::{Exchange, ExchangeState, Role, ToExchange};
+pub use exchange::{Exchange, ExchangeState, ToExchange};
+pub use signalling::Role;
 
 /// Why a front cannot start.
 #[derive(Debug, thiserror::Error)]
@@ -144,6 +147,8 @@
     fleet: Option<UdpSocket>,
     text_udp: Option<UdpSocket>,
     text_tcp: Option<TcpListener>,
+    /// Signalling links, by the far end's point code.
+    signalling: BTreeMap<u32, Role>,
     addrs: Addrs,
 }
 
@@ -175,6 +180,17 @@
                 text_tcp = Some(TcpListener::bind(tcp).await.map_err(fail("text commands", tcp))?);
             }
         }
+        let mut signalling = BTreeMap::new();
+        for far in &config.far_ends {
+            let role = match far.dial {
+                Dial::Connect(addr) => Role::Connect(addr),
+                Dial::Listen(addr) => {
+                    let what = "a far end's signalling";
+                    Role::Listen(TcpListener::bind(addr).await.map_err(fail(what, addr))?)
+                }
+            };
+            signalling.insert(far.point, role);
+        }
         let addrs = Addrs {
             text_udp: text_udp.as_ref().and_then(|socket| socket.local_addr().ok()),
             text_tcp: text_tcp.as_ref().and_then(|socket| socket.local_addr().ok()),
@@ -182,7 +198,7 @@
             pool: pool.as_ref().and_then(|socket| socket.local_addr().ok()),
             fleet: fleet.as_ref().and_then(|socket| socket.local_addr().ok()),
         };
-        Ok(Self { config, listener, pool, fleet, text_udp, text_tcp, addrs })
+        Ok(Self { config, listener, pool, fleet, text_udp, text_tcp, signalling, addrs })
     }
 
     /// What is bound.
@@ -210,7 +226,7 @@
     /// # Errors
     /// As [`Bound::start`].
     pub fn start_with(self, policy: Option<Box<dyn Policy>>) -> Result<Front, FrontError> {
-        let Self { config, listener, pool, fleet, text_udp, text_tcp, addrs } = self;
+        let Self { config, listener, pool, fleet, text_udp, text_tcp, signalling, addrs } = self;
         let boot = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs() as u32);
         let seed = config.seed.unwrap_or_else(rand::random);
         let desk = match policy {
@@ -241,6 +257,19 @@
             links.insert(u64::from(server.number), to_link);
             tokio::spawn(server::run(shared.clone(), server, from_core, opened));
         }
+        let mut fars = BTreeMap::new();
+        for (point, role) in signalling {
+            let (to_link, from_core) = mpsc::channel(shared.config.links.queue);
+            fars.insert(point, to_link);
+            let tell = shared.core.clone();
+            tokio::spawn(signalling::serve(point, role, from_core, tell, |far, linked| {
+                ToCore::Desk(match linked {
+                    Linked::Up => DeskInput::TrunkUp(far),
+                    Linked::Down => DeskInput::TrunkDown(far),
+                    Linked::Packet(data) => DeskInput::Trunk(data),
+                })
+            }));
+        }
         let fleet = fleet.map(Arc::new);
         if let Some(socket) = &fleet {
             tokio::spawn(fleet::receive(shared.clone(), socket.clone()));
@@ -258,7 +287,7 @@
             tokio::spawn(text::packets(shared.clone(), listener));
         }
         tokio::spawn(accept(shared.clone(), listener));
-        let core = tokio::spawn(core::run(shared.clone(), desk, from_links, links, datagrams, fleet));
+        let core = tokio::spawn(core::run(shared.clone(), desk, from_links, links, fars, datagrams, fleet));
         info!(host = shared.config.host, addr = %addrs.diameter, "front runs");
         Ok(Front { addrs, shared, to_core, closing, core })
     }
--- a/crates/trunk/src/circuit.rs
+++ b/crates/trunk/src/circuit.rs
@@ -82,6 +82,12 @@
         self.used == Use::Idle && !self.blocked_here && !self.blocked_there
     }
 
+    /// A release or reset is out, and its timer runs here.
+    pub(crate) fn awaits_completion(&self) -> bool {
+        let out = matches!(self.used, Use::Releasing | Use::Resetting | Use::GroupResetting);
+        out && self.due != Micros::MAX
+    }
+
     pub(crate) fn ours(&self) -> Ours {
         match self.used {
             Use::Idle => Ours::Idle,
--- a/crates/trunk/src/decide.rs
+++ b/crates/trunk/src/decide.rs
@@ -122,6 +122,21 @@
     own_block != told.remotely_blocked
 }
 
+/// An IAM on a circuit whose release or reset is still to be completed here shows that the far end has it idle. Either
+/// the IAM crossed the REL, or is a copy: then the RLC follows it, and the far end's call ended with the REL. Or the
+/// RLC was lost: then the far end's call waits, and its caller with it, until T1 runs out. So it is neither taken nor
+/// answered at once, for an REL said again would meet the far end's next call when it has completed the first one; but
+/// where the RLC does not follow within this, microseconds, the release is said again before T1.
+pub const COMPLETION_FOLLOWS: u64 = 200_000;
+
+/// Whether a blocking that comes while an IAM is unanswered says that the IAM was not taken. The first one does not:
+/// it may have been sent after the IAM was read, and then the call goes on there (Q.764, 2.8.2). To go on by another
+/// circuit at once, as Q.764, 2.8.2.3 allows, would have two attempts out. An exchange that reads an IAM on a circuit
+/// that it has blocked says the blocking again, and that is an answer.
+pub fn blocking_refuses(blocked: bool, blocked_before: bool) -> bool {
+    blocked && blocked_before
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -140,6 +155,12 @@
         }
     }
 
+    #[test]
+    fn only_a_blocking_said_again_answers_a_seizure() {
+        assert!(blocking_refuses(true, true));
+        assert!(!blocking_refuses(true, false) && !blocking_refuses(false, true));
+    }
+
     #[test]
     fn who_won_gives_way_for_a_while() {
         assert!(gives_way(true, 0) && gives_way(true, GIVES_WAY - 1));
--- a/crates/trunk/src/lib.rs
+++ b/crates/trunk/src/lib.rs
@@ -12,6 +12,7 @@
 mod circuit;
 pub mod decide;
 mod group;
+pub mod route;
 mod timers;
 mod trunks;
 mod types;
--- a/crates/trunk/src/trunks.rs
+++ b/crates/trunk/src/trunks.rs
@@ -7,17 +7,14 @@
 use crate::audit::{Audit, AuditSettings, Query, QUERY_MAX};
 use crate::circuit::{Circuit, Use};
 use crate::decide::{
-    blocking_unknown_there, compare, may_seize, shows_a_lost_call, tries_another, Claim, Look,
+    blocking_refuses, blocking_unknown_there, compare, may_seize, shows_a_lost_call, tries_another, Claim,
+    Look, COMPLETION_FOLLOWS,
 };
 use crate::group::{Group, GroupSpec, SpecError};
+use crate::route::cause;
 use crate::timers::{Agenda, Due, TimerSettings};
 use crate::types::{CallKey, Cic, End, GroupId, Maintenance, Output, Setup, Signal, Told, Usage, View};
 
-/// Cause values that are said from here (Q.850).
-mod cause {
-    pub(super) const RECOVERY_ON_TIMER_EXPIRY: u8 = 102;
-}
-
 /// What has happened so far; each only grows.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
 pub struct Counts {
@@ -250,11 +247,22 @@
     }
 
     /// The far end can be reached, or cannot: then nothing new is seized, and calls whose seizure it never
-    /// acknowledged end.
+    /// acknowledged end. Once it can be reached again, releases and resets that are unanswered are said again at once:
+    /// the first ones may have been lost with the link, and the far end's calls stand until T1 runs out.
     pub fn reachable(&mut self, now: Micros, group: GroupId, reachable: bool, out: &mut Vec<Output>) {
         let place = usize::from(group.0);
         let Some(found) = self.groups.get_mut(place) else { return };
+        let came_back = reachable && !found.reachable;
         found.reachable = reachable;
+        if came_back {
+            let open = found.cics().filter(|cic| found.get(*cic).is_some_and(Circuit::awaits_completion));
+            for cic in open.collect::<Vec<_>>() {
+                if let Some(circuit) = self.circuit_mut(place, cic) {
+                    circuit.since = now;
+                }
+                self.set_due(now, place, cic);
+            }
+        }
         if reachable {
             return;
         }
@@ -331,6 +339,10 @@
                 self.take(now, group, cic, setup, out);
                 self.yields(now, call, out);
             }
+            Use::Releasing | Use::Resetting => {
+                let due = circuit.due.min(now.saturating_add(COMPLETION_FOLLOWS));
+                self.set_due(due, group, cic);
+            }
             // A copy of an IAM, or the far end forgot its call: an audit will tell.
             _ => self.odd(now, group, cic),
         }
@@ -446,14 +458,23 @@
     }
 
     fn blocked_there(&mut self, now: Micros, group: usize, cic: Cic, blocked: bool, out: &mut Vec<Output>) {
+        if self.circuit(group, cic).is_none() {
+            return;
+        }
+        say(group, cic, if blocked { Signal::BlockAck } else { Signal::UnblockAck }, out);
+        self.block_there(now, group, cic, blocked, out);
+    }
+
+    /// The far end blocks a circuit, or ends that. A seizure under way shows by it whether it was taken: see
+    /// [`blocking_refuses`].
+    fn block_there(&mut self, now: Micros, group: usize, cic: Cic, blocked: bool, out: &mut Vec<Output>) {
         let Some(circuit) = self.circuit_mut(group, cic) else { return };
+        let refuses = blocking_refuses(blocked, circuit.blocked_there);
         circuit.blocked_there = blocked;
         let used = circuit.used;
         self.settle(group, cic);
-        say(group, cic, if blocked { Signal::BlockAck } else { Signal::UnblockAck }, out);
-        if let (Use::OutSeized(call), true) = (used, blocked) {
-            // The IAM met the blocking and was not taken (Q.764, 2.8.2.3).
-            self.send_release(now, group, cic, cause::RECOVERY_ON_TIMER_EXPIRY, out);
+        if let (Use::OutSeized(call), true) = (used, refuses) {
+            self.used(now, group, cic, Use::Idle, Micros::MAX);
             self.yields(now, call, out);
         }
     }
@@ -512,14 +533,7 @@
         out: &mut Vec<Output>,
     ) {
         for (cic, _) in (first..).zip(status).filter(|(_, named)| **named) {
-            let Some(circuit) = self.circuit_mut(group, cic) else { continue };
-            circuit.blocked_there = blocked;
-            let used = circuit.used;
-            self.settle(group, cic);
-            if let (Use::OutSeized(call), true) = (used, blocked) {
-                self.send_release(now, group, cic, cause::RECOVERY_ON_TIMER_EXPIRY, out);
-                self.yields(now, call, out);
-            }
+            self.block_there(now, group, cic, blocked, out);
         }
     }
 
@@ -670,6 +684,13 @@
         let Some(circuit) = self.circuit_mut(group, cic) else { return };
         circuit.due = Micros::MAX;
         let (used, since) = (circuit.used, circuit.since);
+        // Nobody hears it, and the time of a link's loss is none in which a far end left something unanswered: else
+        // an outage of T5 and T17 would leave every circuit of it blocked for maintenance.
+        if !self.groups.get(group).is_some_and(|group| group.reachable)
+            && matches!(used, Use::Releasing | Use::Resetting | Use::GroupResetting)
+        {
+            return self.set_due(now + t1, group, cic);
+        }
         let long = now.saturating_sub(since);
         match used {
             Use::OutSeized(call) | Use::OutAccepted(call) => {
