--- a/crates/front/src/signalling.rs
+++ b/crates/front/src/signalling.rs
@@ -1,5 +1,8 @@
 //! One signalling link on a socket: M3UA packets over TCP, in place of SCTP. Nothing is decided here.
 //!
+//! A link is up once the far end has acknowledged that this one is (ASPUP and its ACK, RFC 4666, 4.3.4.1): a
+//! connection alone, which a relay on the way may have taken, says nothing of the far end.
+//!
 //! While there is no connection, what is to be sent is dropped: who sends it has timers for that. A far end that does
 //! not read in time loses its connection.
 
@@ -57,11 +60,20 @@
             },
         };
         let _ = stream.set_nodelay(true);
+        let mut wire = Framed::new(stream, Codec);
+        let greeted = tokio::select! {
+            greeted = greet(&mut wire) => greeted,
+            () = drain(&mut outgoing) => return,
+        };
+        if !greeted {
+            debug!(far, "no acknowledgement of the link");
+            tokio::time::sleep(RETRY).await;
+            continue;
+        }
         info!(far, "signalling link up");
         if tell.send(wrap(far, Linked::Up)).await.is_err() {
             return;
         }
-        let mut wire = Framed::new(stream, Codec);
         let why = loop {
             let heard = tokio::select! {
                 heard = hear(&mut wire, &mut outgoing) => heard,
@@ -88,6 +100,22 @@
     }
 }
 
+/// Says that this end is up and waits for the far end's word that it knows; its own such word is acknowledged.
+async fn greet(wire: &mut Wire) -> bool {
+    let greeting = async {
+        wire.send(Packet::AspUp).await.ok()?;
+        loop {
+            match wire.next().await?.ok()? {
+                Packet::AspUpAck => return Some(()),
+                Packet::AspUp => wire.send(Packet::AspUpAck).await.ok()?,
+                // Traffic before the acknowledgement is none (RFC 4666, 4.3.4.1).
+                Packet::Data(_) | Packet::Other(..) => {}
+            }
+        }
+    };
+    matches!(tokio::time::timeout(PATIENCE, greeting).await, Ok(Some(())))
+}
+
 enum Heard {
     Packet(Data),
     Nothing,
@@ -100,6 +128,12 @@
     tokio::select! {
         packet = wire.next() => match packet {
             Some(Ok(Packet::Data(data))) => return Heard::Packet(data),
+            // The far end began anew, or says it late.
+            Some(Ok(Packet::AspUp)) => return match wire.send(Packet::AspUpAck).await {
+                Ok(()) => Heard::Nothing,
+                Err(error) => Heard::Lost(error.to_string()),
+            },
+            Some(Ok(Packet::AspUpAck)) => return Heard::Nothing,
             Some(Ok(Packet::Other(class, kind))) => {
                 debug!(class, kind, "packet passed over");
                 return Heard::Nothing;
@@ -113,7 +147,7 @@
     }
     let sent = async {
         for data in batch {
-            wire.feed(data).await?;
+            wire.feed(Packet::Data(data)).await?;
         }
         wire.flush().await
     };
--- a/crates/isup/src/m3ua.rs
+++ b/crates/isup/src/m3ua.rs
@@ -12,6 +12,9 @@
 const HEAD: usize = 8;
 /// Message class Transfer, type DATA (3.1.2).
 const DATA: (u8, u8) = (1, 1);
+/// ASP state maintenance (3.5.1, 3.5.2).
+const ASP_UP: (u8, u8) = (3, 1);
+const ASP_UP_ACK: (u8, u8) = (3, 4);
 /// Parameter tag of Protocol Data (3.3.1).
 const PROTOCOL_DATA: u16 = 0x0210;
 /// Service indicator of ISUP (Q.704, 14.2.1).
@@ -37,6 +40,10 @@
 pub enum Packet {
     /// DATA for ISUP.
     Data(Data),
+    /// The sender is ready for traffic (ASPUP).
+    AspUp,
+    /// So is the receiver of that: from now on there is traffic (ASPUP ACK).
+    AspUpAck,
     /// Another class and type: management and the like, passed over by who has no use for it.
     Other(u8, u8),
 }
@@ -67,10 +74,29 @@
 }
 
 impl Packet {
+    /// As a whole packet; all but DATA are said without parameters.
+    ///
+    /// # Errors
+    /// Where the message is too long.
+    pub fn write(&self, to: &mut BytesMut) -> Result<(), Error> {
+        let (class, kind) = match self {
+            Self::Data(data) => return data.write(to),
+            Self::AspUp => ASP_UP,
+            Self::AspUpAck => ASP_UP_ACK,
+            Self::Other(class, kind) => (*class, *kind),
+        };
+        to.put_slice(&[1, 0, class, kind]);
+        to.put_u32(HEAD as u32);
+        Ok(())
+    }
+
     fn read(octets: &[u8]) -> Result<Self, Error> {
         let (class, kind) = (octets[2], octets[3]);
-        if (class, kind) != DATA {
-            return Ok(Self::Other(class, kind));
+        match (class, kind) {
+            DATA => {}
+            ASP_UP => return Ok(Self::AspUp),
+            ASP_UP_ACK => return Ok(Self::AspUpAck),
+            _ => return Ok(Self::Other(class, kind)),
         }
         let mut rest = &octets[HEAD..];
         while rest.len() >= 4 {
@@ -136,10 +162,10 @@
     }
 }
 
-impl Encoder<Data> for Codec {
+impl Encoder<Packet> for Codec {
     type Error = StreamError;
 
-    fn encode(&mut self, data: Data, to: &mut BytesMut) -> Result<(), StreamError> {
-        Ok(data.write(to)?)
+    fn encode(&mut self, packet: Packet, to: &mut BytesMut) -> Result<(), StreamError> {
+        Ok(packet.write(to)?)
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! The models of `baydrift-emulator` on loopback sockets, and links with faults; all is recorded.
 
 mod caller;
+mod far_end;
 mod link;
 mod list;
 mod packets;
@@ -11,6 +12,7 @@
     CallerSpec, Command, Fault, Flow, Offers, Processor, ProcessorSpec, ServerSpec, Taken, TextSpec, Work,
 };
 pub use caller::Caller;
+pub use far_end::FarEnd;
 pub use link::{Datagrams, Link, Watched};
 pub use list::push;
 pub use packets::Packets;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -42,7 +42,7 @@
 }
 
 /// The port of a process that died is taken again, though old connections linger.
-async fn listen_again(addr: SocketAddr) -> Option<TcpListener> {
+pub(crate) async fn listen_again(addr: SocketAddr) -> Option<TcpListener> {
     for _ in 0..200 {
         let socket = TcpSocket::new_v4().ok()?;
         let _ = socket.set_reuseaddr(true);
