baydrift circuits: operators see a running front's trunk groups on a Unix socket

Need: who runs trunk groups had no way to see which circuits are busy, stuck or blocked, for how long, and whether audits are answered. A socket left by a killed front is replaced; one in use and a file that is none are not. Measured: crates/front/tests/admin.rs, both with a stand-in far end on loopback and without one.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! `baydrift`: the call router's command line.
 
+mod circuits;
 mod day;
 mod demo;
 mod front;
@@ -60,6 +61,8 @@
     /// Two exchanges and their trunk groups in virtual time: glare, lost signals, audits; exit code 1 if a circuit
     /// stays busy or a call ends twice.
     Trunks(trunks::Args),
+    /// The trunk groups of a running front: what circuits are used for, for how long, and the last audit.
+    Circuits(circuits::Args),
 }
 
 fn main() -> miette::Result<ExitCode> {
@@ -78,6 +81,7 @@
         Command::Day(args) => runtime.block_on(day::run(args)),
         Command::Audit { record } => day::audit(&record),
         Command::Trunks(args) => runtime.block_on(trunks::run(&args)),
+        Command::Circuits(args) => runtime.block_on(circuits::run(&args)),
     }
 }
 
--- a/crates/config/src/front.rs
+++ b/crates/config/src/front.rs
@@ -13,7 +13,7 @@
 const S: u64 = 1_000_000;
 const HOUR: u64 = 3_600 * S;
 
-const KNOWN: [&str; 13] = [
+const KNOWN: [&str; 14] = [
     "front",
     "limits",
     "policy",
@@ -27,6 +27,7 @@
     "text-client",
     "exchange",
     "far-end",
+    "admin",
 ];
 
 /// Reads and checks a front's configuration; `name` is the file's, for messages.
@@ -97,6 +98,7 @@
         servers: all(document, problems, "server").into_iter().map(server).collect(),
         point,
         far_ends,
+        admin: one(document, problems, "admin").map(admin),
         pool: one(document, problems, "pool").map(pool),
         fleet: one(document, problems, "fleet").map(fleet),
         classes,
@@ -191,6 +193,16 @@
     client
 }
 
+fn admin(node: Node<'_>) -> std::path::PathBuf {
+    let path = node.need_text("socket");
+    // A path of a Unix socket has a bound of its own (108 octets with its end on Linux).
+    if path.len() > 100 {
+        node.wrong_at("socket", "a socket's path has at most 100 octets", None);
+    }
+    node.done();
+    path.into()
+}
+
 fn exchange(node: Node<'_>) -> u32 {
     let point = node.need_whole("point", 0..=0x3fff) as u32;
     node.done();
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -54,6 +54,8 @@
     pub point: Option<u32>,
     /// Servers that are reached over trunk groups.
     pub far_ends: Vec<FarEnd>,
+    /// Path of the Unix socket on which operators ask; who may is a matter of the file's directory.
+    pub admin: Option<std::path::PathBuf>,
     /// Where the list service pushes the pool.
     pub pool: Option<Pool>,
     /// The other fronts.
--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -25,7 +25,7 @@
 use crate::pool::{PoolError, PoolList, Roster};
 use crate::text::{Step, Text, Told};
 use crate::transit::Kind;
-use crate::trunk::{News, Offered, TrunkSide};
+use crate::trunk::{News, Offered, TrunkGroupView, TrunkSide};
 
 /// Longest number of an IAM.
 const DIGITS_MAX: usize = 32;
@@ -442,6 +442,11 @@
         self.faults
     }
 
+    /// Its trunk groups.
+    pub fn trunk_groups(&self) -> Vec<TrunkGroupView> {
+        self.trunk.groups()
+    }
+
     /// Its exchange.
     pub fn office(&self) -> &Office {
         self.trunk.office()
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -25,3 +25,4 @@
 pub use pool::{PoolEntry, PoolError, PoolList};
 pub use stalls::{Stalls, CATCH_UP};
 pub use transit::{Kind, Transit};
+pub use trunk::TrunkGroupView;
--- a/crates/desk/src/trunk.rs
+++ b/crates/desk/src/trunk.rs
@@ -17,8 +17,8 @@
 use baydrift_trunk::decide::Claim;
 use baydrift_trunk::route::{cause, meaning, next_group, report, tries_next_group};
 use baydrift_trunk::{
-    AuditSettings, CallKey, End, GroupId, Maintenance, Output, Processing, Setup, TimerSettings, Trunks,
-    Usage,
+    AuditSettings, CallKey, End, GroupId, GroupView, Maintenance, Output, Processing, Setup, TimerSettings,
+    Trunks, Usage,
 };
 use tracing::{debug, warn};
 
@@ -77,6 +77,21 @@
     stands: bool,
 }
 
+/// A trunk group, for operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TrunkGroupView {
+    /// Its far end's name.
+    pub far_end: Arc<str>,
+    /// Its far end's point code.
+    pub point: u32,
+    /// Its own name.
+    pub name: String,
+    /// Its place.
+    pub id: GroupId,
+    /// What it is like.
+    pub view: GroupView,
+}
+
 /// See the module's page.
 #[derive(Debug)]
 pub(crate) struct TrunkSide {
@@ -84,6 +99,7 @@
     fars: Vec<Far>,
     /// The far end of each group.
     of_group: Vec<usize>,
+    names: Vec<String>,
     attempts: BTreeMap<AttemptId, Attempt>,
     /// Releases that the far end has not completed, by far end and circuit.
     releasing: BTreeMap<(usize, GroupId, u16), AttemptId>,
@@ -130,7 +146,9 @@
                 incoming: far.incoming,
             });
         }
+        let names = config.far_ends.iter().flat_map(|far| far.groups.iter().map(|group| group.name.clone()));
         let mut side = Self {
+            names: names.collect(),
             office: office(config),
             fars,
             of_group,
@@ -158,6 +176,16 @@
         &self.office
     }
 
+    /// All groups, with their names and those of their far ends.
+    pub(crate) fn groups(&self) -> Vec<TrunkGroupView> {
+        let group = |(place, name): (usize, &String)| {
+            let (id, far) = (GroupId(place as u16), self.fars.get(*self.of_group.get(place)?)?);
+            let view = self.office.trunks().group_view(id)?;
+            Some(TrunkGroupView { far_end: far.host.clone(), point: far.point, name: name.clone(), id, view })
+        };
+        self.names.iter().enumerate().filter_map(group).collect()
+    }
+
     /// The links under which the engine knows far ends, with their names.
     pub(crate) fn links(&self) -> impl Iterator<Item = (LinkId, Arc<str>)> + '_ {
         self.fars.iter().enumerate().map(|(place, far)| (link_of(place), far.host.clone()))
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -26,6 +26,8 @@
     Desk(DeskInput),
     /// A pushed list; the answer goes back to who pushed it.
     Pool(PoolList, oneshot::Sender<Result<(), PoolError>>),
+    /// What are the trunk groups like?
+    Circuits(oneshot::Sender<serde_json::Value>),
     /// What is held?
     Snapshot(oneshot::Sender<Snapshot>),
     /// Stop in order.
@@ -151,6 +153,9 @@
                 }
                 let _ = reply.send(taken);
             }
+            ToCore::Circuits(reply) => {
+                let _ = reply.send(crate::admin::circuits(&self.desk, now));
+            }
             ToCore::Snapshot(reply) => {
                 let _ = reply.send(self.snapshot());
             }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,6 +5,7 @@
 //! behind, so that a client which sends too fast is held by TCP; a peer that does not read loses its link
 //! when its queue is full. No task decides anything.
 
+mod admin;
 mod client;
 mod core;
 mod exchange;
@@ -33,6 +34,7 @@
 use crate::core::ToCore;
 use crate::signalling::Linked;
 
+pub use admin::{ask, AskError};
 pub use exchange::{Exchange, ExchangeState, ToExchange};
 pub use signalling::Role;
 
@@ -49,6 +51,14 @@
         /// Why.
         error: std::io::Error,
     },
+    /// The operators' socket cannot be made.
+    #[error("cannot listen for operators on {}: {error}", path.display())]
+    Admin {
+        /// Where.
+        path: std::path::PathBuf,
+        /// Why.
+        error: std::io::Error,
+    },
     /// The engine refuses its settings.
     #[error(transparent)]
     Engine(#[from] EngineError),
@@ -149,6 +159,7 @@
     text_tcp: Option<TcpListener>,
     /// Signalling links, by the far end's point code.
     signalling: BTreeMap<u32, Role>,
+    admin: Option<admin::Socket>,
     addrs: Addrs,
 }
 
@@ -191,6 +202,12 @@
             };
             signalling.insert(far.point, role);
         }
+        let admin = match &config.admin {
+            Some(path) => Some(
+                admin::Socket::bind(path).map_err(|error| FrontError::Admin { path: path.clone(), error })?,
+            ),
+            None => None,
+        };
         let addrs = Addrs {
             text_udp: text_udp.as_ref().and_then(|socket| socket.local_addr().ok()),
             text_tcp: text_tcp.as_ref().and_then(|socket| socket.local_addr().ok()),
@@ -198,7 +215,7 @@
             pool: pool.as_ref().and_then(|socket| socket.local_addr().ok()),
             fleet: fleet.as_ref().and_then(|socket| socket.local_addr().ok()),
         };
-        Ok(Self { config, listener, pool, fleet, text_udp, text_tcp, signalling, addrs })
+        Ok(Self { config, listener, pool, fleet, text_udp, text_tcp, signalling, admin, addrs })
     }
 
     /// What is bound.
@@ -226,7 +243,7 @@
     /// # Errors
     /// As [`Bound::start`].
     pub fn start_with(self, policy: Option<Box<dyn Policy>>) -> Result<Front, FrontError> {
-        let Self { config, listener, pool, fleet, text_udp, text_tcp, signalling, addrs } = self;
+        let Self { config, listener, pool, fleet, text_udp, text_tcp, signalling, admin, addrs } = self;
         let boot = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs() as u32);
         let seed = config.seed.unwrap_or_else(rand::random);
         let desk = match policy {
@@ -274,6 +291,9 @@
         if let Some(socket) = &fleet {
             tokio::spawn(fleet::receive(shared.clone(), socket.clone()));
         }
+        if let Some(socket) = admin {
+            tokio::spawn(admin::serve(shared.clone(), socket));
+        }
         if let Some(listener) = pool {
             tokio::spawn(pool::serve(shared.clone(), listener));
         }
--- /dev/null
+++ b/crates/front/tests/admin.rs
@@ -0,0 +1,107 @@
+//! The operators' socket of a running front.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use baydrift_audit::Recorder;
+use baydrift_emulator::FarEndSpec;
+use baydrift_front::{ask, AskError, Bound, FrontError};
+use baydrift_standin::{FarEnd, ProcessorSpec};
+
+fn config(socket: &std::path::Path, far: &str) -> baydrift_config::Config {
+    let text = format!(
+        "front \"f.test\" realm=\"test\" {{ listen \"127.0.0.1:0\"; serves \"core.test\"; }}\n\
+         class \"grid\" {{ context \"grid@test\"; gives-up \"3s\"; }}\npublisher \"gulf\" {{ realm \"gulf.test\"; }}\n\
+         client \"c1.test\" realm=\"test\"\nadmin socket={:?}\nexchange point=11\n\
+         far-end \"gw.test\" number=7 point=21 connect={far:?} {{ group \"north\" first=1 circuits=40; }}\n",
+        socket.display()
+    );
+    baydrift_config::parse("test", &text).unwrap_or_else(|e| panic!("{:?}", e.problems))
+}
+
+fn place(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("baydrift-{name}-{}.sock", std::process::id()))
+}
+
+fn far_end() -> FarEndSpec {
+    let processor = ProcessorSpec {
+        rate: 100.0,
+        release: 0.1,
+        refusal: 0.1,
+        most_wait: 1_000_000,
+        cold_from: 1.0,
+        ramp: 0,
+        fall_multiple: 10.0,
+        fall_time: 1_000_000,
+    };
+    FarEndSpec {
+        number: 7,
+        host: "gw.test".into(),
+        point: 21,
+        fronts: BTreeMap::from([(11, 0)]),
+        first: 1,
+        circuits: 40,
+        processor,
+        calls_per_second: 0.0,
+        hold: 1_000_000,
+        patience: 3_000_000,
+        flow: (0, 0),
+    }
+}
+
+#[tokio::test]
+async fn operators_see_the_groups_of_a_running_front() {
+    let path = place("groups");
+    let far = FarEnd::start(far_end(), Arc::new(Recorder::default()), 1).await.expect("it starts");
+    let config = config(&path, &far.addrs[&0].to_string());
+    let front = Bound::bind(config.clone()).await.expect("bound").start().expect("started");
+    // Its circuits are reset first; once the far end has acknowledged that, they are free.
+    let said = tokio::time::timeout(Duration::from_secs(30), async {
+        loop {
+            let said = ask(&path, "circuits").await.expect("an answer");
+            if said["groups"][0]["free"] == 40 {
+                return said;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    let said = said.await.expect("circuits become free");
+    let group = &said["groups"][0];
+    assert_eq!((&group["far_end"], &group["group"]), (&"gw.test".into(), &"north".into()));
+    assert_eq!(
+        (&group["reachable"], &group["circuits"], &group["clearing"]),
+        (&true.into(), &40.into(), &0.into())
+    );
+    assert_eq!(group["not_idle"].as_array().map(Vec::len), Some(0));
+    let unknown = ask(&path, "everything").await.expect_err("no such question");
+    assert!(matches!(&unknown, AskError::Answer(text) if text.contains("everything")), "{unknown}");
+    // Nobody else's: neither to be read by others, nor to be taken by a second front.
+    use std::os::unix::fs::PermissionsExt;
+    assert_eq!(std::fs::metadata(&path).expect("a file").permissions().mode() & 0o777, 0o600);
+    assert!(matches!(Bound::bind(config).await, Err(FrontError::Admin { .. })));
+    front.stop().await;
+    assert!(matches!(ask(&path, "circuits").await, Err(AskError::Io { .. })));
+}
+
+#[tokio::test]
+async fn a_socket_left_by_a_killed_front_is_replaced_and_another_file_is_not() {
+    let path = place("left");
+    drop(std::os::unix::net::UnixListener::bind(&path).expect("bound"));
+    assert!(path.exists());
+    let front = Bound::bind(config(&path, "127.0.0.1:1")).await.expect("bound").start().expect("started");
+    let said = ask(&path, "circuits").await.expect("an answer");
+    // The far end is away: nothing is free, and what is to be reset waits.
+    let group = &said["groups"][0];
+    assert_eq!(
+        (&group["reachable"], &group["free"], &group["clearing"]),
+        (&false.into(), &0.into(), &40.into())
+    );
+    front.stop().await;
+    let file = place("file");
+    std::fs::write(&file, "precious").expect("written");
+    assert!(Bound::bind(config(&file, "127.0.0.1:1")).await.is_err());
+    assert_eq!(std::fs::read_to_string(&file).expect("still there"), "precious");
+    std::fs::remove_file(&file).expect("removed");
+}
--- a/crates/trunk/src/audit.rs
+++ b/crates/trunk/src/audit.rs
@@ -48,6 +48,8 @@
     next: Cic,
     pub(crate) due: Micros,
     pub(crate) query: Option<Query>,
+    /// When a query was last answered.
+    pub(crate) answered_at: Option<Micros>,
     suspects: BTreeMap<Cic, Suspect>,
     /// Circuits that want a look of their own, out of turn.
     wanted: VecDeque<(Micros, Cic)>,
--- a/crates/trunk/src/lib.rs
+++ b/crates/trunk/src/lib.rs
@@ -22,5 +22,5 @@
 pub use timers::TimerSettings;
 pub use trunks::{Counts, Trunks};
 pub use types::{
-    CallKey, Cic, End, GroupId, Maintenance, Output, Processing, Setup, Signal, Told, Usage, View,
+    CallKey, Cic, End, GroupId, GroupView, Maintenance, Output, Processing, Setup, Signal, Told, Usage, View,
 };
--- a/crates/trunk/src/trunks.rs
+++ b/crates/trunk/src/trunks.rs
@@ -13,7 +13,9 @@
 use crate::group::{Group, GroupSpec, SpecError};
 use crate::route::cause;
 use crate::timers::{Agenda, Due, TimerSettings};
-use crate::types::{CallKey, Cic, End, GroupId, Maintenance, Output, Setup, Signal, Told, Usage, View};
+use crate::types::{
+    CallKey, Cic, End, GroupId, GroupView, Maintenance, Output, Setup, Signal, Told, Usage, View,
+};
 
 /// What has happened so far; each only grows.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
@@ -126,6 +128,19 @@
         Some(View { told: circuit.told(), call: circuit.call(), since: circuit.since })
     }
 
+    /// A group as a whole.
+    pub fn group_view(&self, group: GroupId) -> Option<GroupView> {
+        let place = usize::from(group.0);
+        let (found, audit) = (self.groups.get(place)?, self.audits.get(place)?);
+        Some(GroupView {
+            first: found.spec.first,
+            circuits: found.spec.circuits,
+            reachable: found.reachable,
+            audited_at: audit.answered_at,
+            usage: found.usage(),
+        })
+    }
+
     /// When [`Trunks::tick`] is wanted at the latest.
     pub fn next_wake(&self) -> Option<Micros> {
         let audits = self.audits.iter().map(|audit| audit.due).filter(|due| *due != Micros::MAX);
@@ -604,6 +619,7 @@
             return;
         }
         let Some(query) = audit.query.take() else { return };
+        audit.answered_at = Some(now);
         for ((cic, told), changes) in (first..).zip(states).zip(query.changes) {
             self.look(now, group, cic, *told, changes, out);
         }
--- a/crates/trunk/src/types.rs
+++ b/crates/trunk/src/types.rs
@@ -188,3 +188,18 @@
     /// Awaiting a release's or a reset's completion.
     pub clearing: usize,
 }
+
+/// A group as it is at one end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GroupView {
+    /// Its first circuit.
+    pub first: Cic,
+    /// How many there are.
+    pub circuits: u16,
+    /// Whether its far end can be reached.
+    pub reachable: bool,
+    /// When an audit's query was last answered, microseconds.
+    pub audited_at: Option<u64>,
+    /// What its circuits are used for.
+    pub usage: Usage,
+}
