Circuits tables line up; check counts servers over trunks

Change: numbers as text of a width; members of the pool, and how many of them over trunks. Measured: nothing.

--- a/crates/cli/src/circuits.rs
+++ b/crates/cli/src/circuits.rs
@@ -59,12 +59,12 @@
             "{:<24} {:<20} {:>6} {:>6} {:>7} {:>8} {:>8} {:>8}  {:<5} {:>12}",
             text(group, "far_end"),
             text(group, "group"),
-            group["circuits"],
-            group["free"],
-            group["blocked"],
-            group["outgoing"],
-            group["incoming"],
-            group["clearing"],
+            group["circuits"].to_string(),
+            group["free"].to_string(),
+            group["blocked"].to_string(),
+            group["outgoing"].to_string(),
+            group["incoming"].to_string(),
+            group["clearing"].to_string(),
             if group["reachable"] == true { "up" } else { "down" },
             seconds(&group["last_audit_ms_ago"]),
         );
@@ -77,7 +77,7 @@
             };
             println!(
                 "    circuit {:>4}  {:<10} for {:>8} s  {blocked}",
-                circuit["cic"],
+                circuit["cic"].to_string(),
                 text(circuit, "state"),
                 seconds(&circuit["age_ms"])
             );
--- a/crates/cli/src/front.rs
+++ b/crates/cli/src/front.rs
@@ -14,12 +14,13 @@
 pub fn check(path: &Path) -> miette::Result<ExitCode> {
     let config = load(path)?;
     println!(
-        "{}: good. {} classes, {} publishers, {} clients, {} servers; front {} of {}",
+        "{}: good. {} classes, {} publishers, {} clients, {} servers, {} of them over trunks; front {} of {}",
         path.display(),
         config.classes.len(),
         config.publishers.len(),
         config.clients.len(),
-        config.servers.len(),
+        config.members().count(),
+        config.far_ends.len(),
         config.settings.ordinal,
         config.settings.fronts
     );
