--- a/crates/day/tests/planting/mod.rs
+++ b/crates/day/tests/planting/mod.rs
@@ -32,9 +32,17 @@
     let attempt = "planted".to_owned();
     let second = Moment::SetUp { server, front, call, attempt, redirected: false };
     assert!(with(set_up, second).contains(&2));
-    // Rule 3: told of a drain long before.
-    let told = Line { at: 0, moment: Moment::Told { server, front, ready: false, by_list: true } };
-    let early = [&[told], &lines[..]].concat();
+    // Rule 3: told of a drain longer than the grace before the last set-up; which servers are set up at earlier depends
+    // on the day.
+    let is_set_up = |line: &&Line| matches!(line.moment, Moment::SetUp { .. });
+    let last = lines.iter().rfind(is_set_up).expect("one");
+    let Moment::SetUp { server, front, .. } = last.moment else { unreachable!() };
+    let told =
+        Line { at: last.at - 1_100_000, moment: Moment::Told { server, front, ready: false, by_list: true } };
+    let others = |line: &&Line| !matches!(&line.moment, Moment::Told { server: of, .. } if *of == server);
+    let mut early: Vec<Line> = lines.iter().filter(others).cloned().collect();
+    early.push(told);
+    early.sort_by_key(|line| line.at);
     assert!(broken(&early).contains(&3));
     // Rule 4: a server fell.
     assert_eq!(with(set_up, Moment::Fall { server }), [4]);
