--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -681,11 +681,8 @@
             {
                 payload.span.in_scope(|| debug!(call, index, server, attempt = attempt.0, "seize"));
                 let setup = self.seizure(attempt, &session, &payload);
-                // Circuits that are kept back are for calls that come here first, by their callers' wish or for want
-                // of one.
-                let named = payload.request.text(dict::DESTINATION_HOST).filter(|host| *host != self.host);
-                let here = named.is_none_or(|host| self.trunk.is_named(server, host));
-                let claim = if index == 0 && here { Claim::First } else { Claim::Overflow };
+                // Circuits that are kept back are for calls that come here first.
+                let claim = if index == 0 { Claim::First } else { Claim::Overflow };
                 self.trunk.set_up(now, attempt, server, setup, claim);
             }
             Output::Release { attempt, server, .. } if self.trunk.leads_to(server) => {
--- a/crates/desk/src/trunk.rs
+++ b/crates/desk/src/trunk.rs
@@ -195,10 +195,6 @@
         self.fars.iter().any(|far| far.number == server)
     }
 
-    pub(crate) fn is_named(&self, server: ServerId, host: &str) -> bool {
-        self.fars.iter().any(|far| far.number == server && &*far.host == host)
-    }
-
     /// The server with a point code.
     pub(crate) fn server_at(&self, point: u32) -> Option<ServerId> {
         self.fars.iter().find(|far| far.point == point).map(|far| far.number)
--- a/crates/trunk/src/decide.rs
+++ b/crates/trunk/src/decide.rs
@@ -36,41 +36,14 @@
     }
 }
 
-/// An end that won the last dual seizure of a circuit leaves it to the far end for at most so long once it is idle
-/// again, microseconds. By the fixed rule alone the end that controls the last free circuit would win it every time,
-/// and the other end's calls would starve.
+/// An end that won the last dual seizure of a circuit leaves it to the far end for so long once it is idle again,
+/// microseconds: longer than a seizure is under way. By the fixed rule alone the end that controls the last free
+/// circuit would win it every time, and the other end's calls would starve.
 pub const GIVES_WAY: u64 = 200_000;
 
-/// Whether a circuit that has been idle for so long is left to the far end: for as long as the last seizure of the
-/// group took to be acknowledged, so that one of the far end's may come, and no longer. A fixed 200 ms kept circuits
-/// idle that calls waited for: 0.011 of service where circuits run short and a signal takes 60 ms.
-pub fn gives_way(won_the_last: bool, idle_for: u64, seizure_takes: Takes) -> bool {
-    won_the_last && idle_for < seizure_takes.at_most()
-}
-
-/// How long a seizure takes to be acknowledged, as a power of two of milliseconds: near enough, and of few values, so
-/// that a model checker is not given as many states as there are microseconds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct Takes(u8);
-
-impl Default for Takes {
-    /// Not known yet: as long as may be.
-    fn default() -> Self {
-        Self(8)
-    }
-}
-
-impl Takes {
-    /// By the last seizure, microseconds.
-    pub fn seen(micros: u64) -> Self {
-        let ms = (micros / 1_000).max(1);
-        Self((64 - ms.leading_zeros()).min(8) as u8)
-    }
-
-    /// It takes no longer than this, microseconds.
-    pub fn at_most(self) -> u64 {
-        (1_000u64 << self.0).min(GIVES_WAY)
-    }
+/// Whether a circuit that has been idle for so long is left to the far end.
+pub fn gives_way(won_the_last: bool, idle_for: u64) -> bool {
+    won_the_last && idle_for < GIVES_WAY
 }
 
 /// Seizures of one call that may lose to the far end's in one group. Each was settled by the exchange that controls
@@ -190,14 +163,8 @@
 
     #[test]
     fn who_won_gives_way_for_a_while() {
-        let unknown = Takes::default();
-        assert!(gives_way(true, 0, unknown) && gives_way(true, GIVES_WAY - 1, unknown));
-        assert!(!gives_way(true, GIVES_WAY, unknown) && !gives_way(false, 0, unknown));
-        for took in [0, 900, 1_000, 5_000, 60_000, 130_000, 10_000_000] {
-            let takes = Takes::seen(took);
-            assert!(gives_way(true, took.min(GIVES_WAY - 1), takes), "{took}: {takes:?}");
-            assert!(!gives_way(true, (2 * took).max(2_000).min(GIVES_WAY), takes), "{took}: {takes:?}");
-        }
+        assert!(gives_way(true, 0) && gives_way(true, GIVES_WAY - 1));
+        assert!(!gives_way(true, GIVES_WAY) && !gives_way(false, 0));
     }
 
     #[test]
--- a/crates/trunk/src/group.rs
+++ b/crates/trunk/src/group.rs
@@ -5,7 +5,7 @@
 use baydrift::interface::Micros;
 
 use crate::circuit::{Circuit, Use};
-use crate::decide::{controls, gives_way, Selection, Takes};
+use crate::decide::{controls, gives_way, Selection};
 use crate::types::{Cic, Usage};
 
 /// Most circuits of a group: CICs have 12 bits.
@@ -46,8 +46,6 @@
     /// Free circuits that this end controls, and the others, by when they became free.
     free: [BTreeMap<u64, Cic>; 2],
     freed: u64,
-    /// What the last seizure took to be acknowledged.
-    pub(crate) takes: Takes,
     /// The far end can be reached.
     pub(crate) reachable: bool,
 }
@@ -61,14 +59,7 @@
             return Err(SpecError::Points(spec.own_point));
         }
         let circuits = vec![Circuit::new(); usize::from(spec.circuits)];
-        let mut group = Self {
-            spec,
-            circuits,
-            free: Default::default(),
-            freed: 0,
-            takes: Takes::default(),
-            reachable: true,
-        };
+        let mut group = Self { spec, circuits, free: Default::default(), freed: 0, reachable: true };
         for cic in group.cics() {
             group.settle(cic);
         }
@@ -127,7 +118,7 @@
                 // Only where it is the last free circuit that the far end is after too.
                 let (first, last) = (own.values().next(), own.len() == 1 && other.is_empty());
                 let idle = first.and_then(|cic| self.get(*cic)).map(|c| (c.won, now.saturating_sub(c.since)));
-                let left = last && idle.is_some_and(|(won, idle_for)| gives_way(won, idle_for, self.takes));
+                let left = last && idle.is_some_and(|(won, idle_for)| gives_way(won, idle_for));
                 first.filter(|_| !left).or_else(|| other.values().next_back()).copied()
             }
             Selection::Sequential => own.values().chain(other.values()).min().copied(),
--- a/crates/trunk/src/trunks.rs
+++ b/crates/trunk/src/trunks.rs
@@ -8,7 +8,7 @@
 use crate::circuit::{Circuit, Use};
 use crate::decide::{
     blocking_refuses, blocking_unknown_there, compare, may_seize, shows_a_lost_call, tries_another, Claim,
-    Look, Takes, COMPLETION_FOLLOWS,
+    Look, COMPLETION_FOLLOWS,
 };
 use crate::group::{Group, GroupSpec, SpecError};
 use crate::route::cause;
@@ -395,7 +395,6 @@
     fn accepted(&mut self, now: Micros, group: usize, cic: Cic, out: &mut Vec<Output>) {
         match self.circuit(group, cic).map(|circuit| circuit.used) {
             Some(Use::OutSeized(call)) => {
-                self.acknowledged(now, group, cic);
                 self.used(now, group, cic, Use::OutAccepted(call), now + self.timers.t9);
                 out.push(Output::Accepted(call));
             }
@@ -405,10 +404,7 @@
 
     fn answered(&mut self, now: Micros, group: usize, cic: Cic, out: &mut Vec<Output>) {
         match self.circuit(group, cic).map(|circuit| circuit.used) {
-            Some(used @ (Use::OutSeized(call) | Use::OutAccepted(call))) => {
-                if used == Use::OutSeized(call) {
-                    self.acknowledged(now, group, cic);
-                }
+            Some(Use::OutSeized(call) | Use::OutAccepted(call)) => {
                 self.used(now, group, cic, Use::OutAnswered(call), Micros::MAX);
                 out.push(Output::Answered(call));
             }
@@ -416,14 +412,6 @@
         }
     }
 
-    /// A seizure was acknowledged: how long that took is how long this end gives way.
-    fn acknowledged(&mut self, now: Micros, group: usize, cic: Cic) {
-        let Some(since) = self.circuit(group, cic).map(|circuit| circuit.since) else { return };
-        if let Some(group) = self.groups.get_mut(group) {
-            group.takes = Takes::seen(now.saturating_sub(since));
-        }
-    }
-
     /// A backward signal that belongs to no call here: on an idle circuit the far end holds what is none, and the
     /// circuit is reset (Q.764, 2.9.5.1); on others it is late, or a copy.
     fn unless_idle(&mut self, now: Micros, group: usize, cic: Cic, out: &mut Vec<Output>) {
