A group counts its circuits as they change

Need: what a far end's free lines are was counted anew for each answer, over all its circuits. Change: the group keeps the counts; a test compares them with the circuits after each of 20,000 arbitrary signals, wishes and waits.

--- a/crates/trunk/src/circuit.rs
+++ b/crates/trunk/src/circuit.rs
@@ -27,6 +27,16 @@
     Unequipped,
 }
 
+/// What it is counted as, for who asks how full a group is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum Tally {
+    Free,
+    Blocked,
+    Outgoing,
+    Incoming,
+    Clearing,
+}
+
 /// See the module's page.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct Circuit {
@@ -47,6 +57,8 @@
     /// The far end has not confirmed the last blocking or its end.
     pub(crate) blocking_open: bool,
     pub(crate) reported: bool,
+    /// As what it is counted.
+    pub(crate) tallied: Tally,
     /// This end won the last dual seizure of it.
     pub(crate) won: bool,
 }
@@ -65,6 +77,7 @@
             blocked_there: false,
             blocking_open: false,
             reported: false,
+            tallied: Tally::Blocked,
             won: false,
         }
     }
@@ -78,6 +91,17 @@
         }
     }
 
+    /// As what it is to be counted.
+    pub(crate) fn tally(&self) -> Tally {
+        match self.used {
+            Use::Idle if self.is_free() => Tally::Free,
+            Use::Idle | Use::Unequipped => Tally::Blocked,
+            Use::OutSeized(_) | Use::OutAccepted(_) | Use::OutAnswered(_) => Tally::Outgoing,
+            Use::In(_) => Tally::Incoming,
+            Use::Releasing | Use::Resetting | Use::GroupResetting => Tally::Clearing,
+        }
+    }
+
     pub(crate) fn is_free(&self) -> bool {
         self.used == Use::Idle && !self.blocked_here && !self.blocked_there
     }
--- a/crates/trunk/src/group.rs
+++ b/crates/trunk/src/group.rs
@@ -4,7 +4,7 @@
 
 use baydrift::interface::Micros;
 
-use crate::circuit::{Circuit, Use};
+use crate::circuit::{Circuit, Tally};
 use crate::decide::{controls, gives_way, Selection};
 use crate::types::{Cic, Usage};
 
@@ -46,6 +46,8 @@
     /// Free circuits that this end controls, and the others, by when they became free.
     free: [BTreeMap<u64, Cic>; 2],
     freed: u64,
+    /// What circuits are used for, counted as they change.
+    usage: Usage,
     /// The far end can be reached.
     pub(crate) reachable: bool,
 }
@@ -59,7 +61,8 @@
             return Err(SpecError::Points(spec.own_point));
         }
         let circuits = vec![Circuit::new(); usize::from(spec.circuits)];
-        let mut group = Self { spec, circuits, free: Default::default(), freed: 0, reachable: true };
+        let usage = Usage { blocked: circuits.len(), ..Usage::default() };
+        let mut group = Self { spec, circuits, free: Default::default(), freed: 0, usage, reachable: true };
         for cic in group.cics() {
             group.settle(cic);
         }
@@ -92,6 +95,10 @@
         let side = usize::from(!self.controls(cic));
         let Some(place) = self.place(cic) else { return };
         let circuit = &mut self.circuits[place];
+        let tally = circuit.tally();
+        *counted(&mut self.usage, circuit.tallied) -= 1;
+        *counted(&mut self.usage, tally) += 1;
+        circuit.tallied = tally;
         match (circuit.is_free(), circuit.free) {
             (true, 0) => {
                 self.freed += 1;
@@ -126,16 +133,16 @@
     }
 
     pub(crate) fn usage(&self) -> Usage {
-        let mut usage = Usage { free: self.free(), ..Usage::default() };
-        for circuit in &self.circuits {
-            match circuit.used {
-                Use::Idle => usage.blocked += usize::from(!circuit.is_free()),
-                Use::OutSeized(_) | Use::OutAccepted(_) | Use::OutAnswered(_) => usage.outgoing += 1,
-                Use::In(_) => usage.incoming += 1,
-                Use::Releasing | Use::Resetting | Use::GroupResetting => usage.clearing += 1,
-                Use::Unequipped => usage.blocked += 1,
-            }
-        }
-        usage
+        self.usage
+    }
+}
+
+fn counted(usage: &mut Usage, tally: Tally) -> &mut usize {
+    match tally {
+        Tally::Free => &mut usage.free,
+        Tally::Blocked => &mut usage.blocked,
+        Tally::Outgoing => &mut usage.outgoing,
+        Tally::Incoming => &mut usage.incoming,
+        Tally::Clearing => &mut usage.clearing,
     }
 }
--- a/crates/trunk/tests/crossing.rs
+++ b/crates/trunk/tests/crossing.rs
@@ -153,3 +153,63 @@
     assert!(!again.iter().any(|output| matches!(output, Output::Report { .. })));
     assert_eq!((exchange.free(), exchange.trunks.calls()), (3, 1));
 }
+
+#[test]
+fn what_is_counted_is_what_the_circuits_are_used_for() {
+    use baydrift_trunk::Processing;
+    let mut exchange = Exchange::new();
+    // A small generator is enough: what counts is that every kind of signal meets every state.
+    let mut state = 1u64;
+    let mut draw = |below: u64| {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (state >> 33) % below
+    };
+    let mut seen = std::collections::BTreeSet::new();
+    for call in 0..20_000 {
+        let cic = draw(5) as Cic;
+        let bits = (0..1 + draw(3)).map(|_| draw(2) == 1).collect::<Vec<_>>();
+        let signal = match draw(20) {
+            0 | 1 => Signal::Seize(setup()),
+            2 | 3 => Signal::Accepted,
+            4 | 5 => Signal::Answered,
+            6 | 7 => Signal::Release(16),
+            8..=10 => Signal::ReleaseComplete,
+            11 => Signal::Reset,
+            12 => Signal::Block,
+            13 => Signal::Unblock,
+            14 => Signal::GroupReset(1 + draw(4) as u16),
+            15 => Signal::GroupBlock(bits),
+            16 => Signal::GroupUnblock(bits),
+            17 if draw(50) == 0 => Signal::Unequipped,
+            18 => Signal::GroupResetAck(bits),
+            _ => Signal::Progress,
+        };
+        exchange.hear(cic, signal);
+        let mut out = Vec::new();
+        match draw(6) {
+            0 | 1 => {
+                exchange.trunks.seize(exchange.now, CallKey(call), GROUP, setup(), Claim::First, &mut out)
+            }
+            2 => exchange.release(call.saturating_sub(draw(6))),
+            3 => exchange.trunks.block(exchange.now, GROUP, cic, draw(3) == 0, &mut out),
+            4 if draw(40) == 0 => exchange.trunks.reset(exchange.now, GROUP, &mut out),
+            _ => drop(exchange.tick(draw(30) * S)),
+        }
+        let usage = exchange.trunks.usage(GROUP).expect("a group");
+        let mut counted = baydrift_trunk::Usage::default();
+        for cic in 0..4 {
+            let told = exchange.trunks.view(GROUP, cic).expect("a circuit").told;
+            seen.insert(format!("{:?}", told.processing));
+            let blocked = told.locally_blocked || told.remotely_blocked;
+            *match told.processing {
+                Processing::Idle if !blocked => &mut counted.free,
+                Processing::Idle | Processing::Unequipped => &mut counted.blocked,
+                Processing::OutgoingBusy => &mut counted.outgoing,
+                Processing::IncomingBusy => &mut counted.incoming,
+                Processing::Transient => &mut counted.clearing,
+            } += 1;
+        }
+        assert_eq!(usage, counted, "after {call} steps");
+    }
+    assert_eq!(seen.len(), 5, "{seen:?}");
+}
