An RLC is not taken for the next call's: resets await their own completion

Need: searched depth first, the model check found in 47,713 states, with one restart, a call that stood here and was never answered there: an RLC said to an REL that had crossed a reset was taken for the next call's, 36 steps deep. Breadth first it had not come below depth 10. Change: an REL on a circuit whose own reset is out is not answered, and such a circuit stays so when the far end resets it too; the example searches depth first.

--- a/crates/trunk/examples/check.rs
+++ b/crates/trunk/examples/check.rs
@@ -25,7 +25,8 @@
         let began = std::time::Instant::now();
         let threads = std::thread::available_parallelism().map_or(1, usize::from);
         let checker = ends.checker().threads(threads).target_state_count(most);
-        let checker = checker.finish_when(HasDiscoveries::AnyFailures).spawn_bfs().join();
+        // Depth first: what waits is one path a thread, not a whole width of states.
+        let checker = checker.finish_when(HasDiscoveries::AnyFailures).spawn_dfs().join();
         println!(
             "{name}: {} states, {} unique, depth {}, {} s{}",
             checker.state_count(),
--- a/crates/trunk/src/decide.rs
+++ b/crates/trunk/src/decide.rs
@@ -129,6 +129,13 @@
 /// where the RLC does not follow within this, microseconds, the release is said again before T1.
 pub const COMPLETION_FOLLOWS: u64 = 200_000;
 
+/// Whether an REL is answered by an RLC: not where this end's reset of the circuit is out. The far end is done with the
+/// circuit once it reads that, and awaits no RLC then; one that it reads later it would take for the completion of its
+/// next call's release, and signals of that call for those of the one after.
+pub fn completes_a_release(resetting: bool) -> bool {
+    !resetting
+}
+
 /// Whether a blocking that comes while an IAM is unanswered says that the IAM was not taken. The first one does not:
 /// it may have been sent after the IAM was read, and then the call goes on there (Q.764, 2.8.2). To go on by another
 /// circuit at once, as Q.764, 2.8.2.3 allows, would have two attempts out. An exchange that reads an IAM on a circuit
--- a/crates/trunk/src/trunks.rs
+++ b/crates/trunk/src/trunks.rs
@@ -7,8 +7,8 @@
 use crate::audit::{Audit, AuditSettings, Query, QUERY_MAX};
 use crate::circuit::{Circuit, Use};
 use crate::decide::{
-    blocking_refuses, blocking_unknown_there, compare, may_seize, shows_a_lost_call, tries_another, Claim,
-    Look, COMPLETION_FOLLOWS,
+    blocking_refuses, blocking_unknown_there, compare, completes_a_release, may_seize, shows_a_lost_call,
+    tries_another, Claim, Look, COMPLETION_FOLLOWS,
 };
 use crate::group::{Group, GroupSpec, SpecError};
 use crate::route::cause;
@@ -432,7 +432,15 @@
             self.used(now, group, cic, Use::Idle, Micros::MAX);
         }
         // Two REL that cross are each answered, and each end still awaits its own RLC (Q.764, 2.3.1).
-        say(group, cic, Signal::ReleaseComplete, out);
+        if completes_a_release(self.is_resetting(group, cic)) {
+            say(group, cic, Signal::ReleaseComplete, out);
+        }
+    }
+
+    /// A reset of this end's is out.
+    fn is_resetting(&self, group: usize, cic: Cic) -> bool {
+        let used = self.circuit(group, cic).map(|circuit| circuit.used);
+        matches!(used, Some(Use::Resetting | Use::GroupResetting))
     }
 
     fn release_complete(&mut self, now: Micros, group: usize, cic: Cic) {
@@ -457,7 +465,9 @@
         let Some(circuit) = self.circuit_mut(group, cic) else { return };
         circuit.blocked_there = false;
         let used = circuit.used;
-        if used == Use::Unequipped {
+        // Where this end's own reset is out too, its completion is still to come, and would otherwise be taken for
+        // that of the next call's release.
+        if used == Use::Unequipped || self.is_resetting(group, cic) {
             return;
         }
         self.used(now, group, cic, Use::Idle, Micros::MAX);
