Trunks: a place, a key and a bound are each said once

Change: CallKey::is_incoming, one POINT_MAX, CIRCUITS_MAX of crates/trunk, place_of and far_at; DeskOutput::ToFarEnd is the packet alone; one arm for cuts.

--- a/crates/config/src/front.rs
+++ b/crates/config/src/front.rs
@@ -6,7 +6,7 @@
 
 use crate::check::check;
 use crate::reader::{parse_document, ConfigError, Node, Problems};
-use crate::trunk::far_end;
+use crate::trunk::{exchange, far_end};
 use crate::{ClassEntry, Client, Config, Fleet, LinkLimits, Pool, Publisher, Server, Text, TextClient};
 
 const MS: u64 = 1_000;
@@ -203,12 +203,6 @@
     path.into()
 }
 
-fn exchange(node: Node<'_>) -> u32 {
-    let point = node.need_whole("point", 0..=0x3fff) as u32;
-    node.done();
-    point
-}
-
 pub(crate) fn state(node: &Node<'_>) -> ServerState {
     match node.text("state").as_deref() {
         None | Some("ready") => ServerState::Ready,
--- a/crates/config/src/trunk.rs
+++ b/crates/config/src/trunk.rs
@@ -4,15 +4,15 @@
 
 use baydrift::interface::ServerState;
 use baydrift_trunk::decide::Selection;
-use baydrift_trunk::GroupSpec;
+use baydrift_trunk::{GroupSpec, CIRCUITS_MAX};
 
 use crate::reader::Node;
 use crate::{ClassEntry, Publisher};
 
 /// A signalling point code has 14 bits (Q.704, 2.2.3).
 const POINT_MAX: u64 = 0x3fff;
-/// CICs have 12 bits.
-const CIC_MAX: u64 = 0x0fff;
+/// The last circuit's code.
+const CIC_MAX: u64 = CIRCUITS_MAX as u64 - 1;
 
 /// Who opens the signalling link to a far end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,6 +60,13 @@
     pub incoming: Option<Incoming>,
 }
 
+/// This exchange's own point code.
+pub(crate) fn exchange(node: Node<'_>) -> u32 {
+    let point = node.need_whole("point", 0..=POINT_MAX) as u32;
+    node.done();
+    point
+}
+
 pub(crate) fn far_end(
     node: Node<'_>,
     own_point: u32,
--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -163,13 +163,8 @@
         /// The text.
         text: Arc<str>,
     },
-    /// A packet to a far end.
-    ToFarEnd {
-        /// Its point code.
-        point: u32,
-        /// The packet.
-        data: Data,
-    },
+    /// A packet to the far end whose point code it names.
+    ToFarEnd(Data),
     /// An answer to a server's request.
     Reply {
         /// The server.
@@ -395,9 +390,7 @@
     fn settle(&mut self, now: Micros, out: &mut Vec<DeskOutput>) {
         loop {
             self.text_steps(now, out);
-            out.extend(
-                self.trunk.packets.drain(..).map(|(point, data)| DeskOutput::ToFarEnd { point, data }),
-            );
+            out.extend(self.trunk.packets.drain(..).map(DeskOutput::ToFarEnd));
             let Some(news) = self.trunk.news.pop_front() else { return };
             self.trunk_news(now, news, out);
         }
@@ -608,10 +601,8 @@
             News::Over(attempt, report) => Input::Cut { attempt, report },
             News::Released(attempt, report) => Input::ReleaseDone { attempt, report },
             News::Offered(offered) => Input::Offered(self.offer_of_trunk(&offered)),
-            News::Left(call, request) => {
-                let owner = self.trunk.links().find(|(link, _)| *link == request.link).map(|(_, host)| host);
-                let Some(owner) = owner else { return };
-                Input::Released { session: self.session_of_trunk(owner, call), request }
+            News::Left(call, far, request) => {
+                Input::Released { session: self.session_of_trunk(self.trunk.host(far), call), request }
             }
         };
         self.engine(now, input, out);
@@ -718,15 +709,13 @@
                 self.text.waiting.remove(&request);
                 self.tickets.remove(&request);
             }
-            Output::Cut { link, session, .. } if self.trunk.call_of(link, &session.id).is_some() => {
+            Output::Cut { link, session, class: _ } => {
                 if let Some(call) = self.trunk.call_of(link, &session.id) {
-                    self.trunk.cut(now, call);
+                    return self.trunk.cut(now, call);
+                }
+                if self.text.clients.contains_key(&link) {
+                    return self.text.steps.push_back(Step::Cut(link, session));
                 }
-            }
-            Output::Cut { link, session, .. } if self.text.clients.contains_key(&link) => {
-                self.text.steps.push_back(Step::Cut(link, session));
-            }
-            Output::Cut { link, session, class: _ } => {
                 let Some(client) = self.clients.get(&link) else { return };
                 // A relay's callers are behind it: a Session-Id begins with its origin's name.
                 let origin = session.id.split(';').next().filter(|_| client.relay);
--- a/crates/desk/src/trunk.rs
+++ b/crates/desk/src/trunk.rs
@@ -24,8 +24,6 @@
 
 /// Links of far ends, apart from all others'.
 const LINKS: u64 = 1 << 48;
-/// Names of incoming calls begin here, as [`Trunks`] says.
-const INCOMING: u64 = 1 << 63;
 
 /// What became of circuits, for the engine.
 #[derive(Debug, Clone, PartialEq)]
@@ -41,7 +39,7 @@
     /// A far end offers a call.
     Offered(Box<Offered>),
     /// A far end is done with a call that it offered.
-    Left(CallKey, Request),
+    Left(CallKey, usize, Request),
 }
 
 /// A call that a far end offers.
@@ -107,7 +105,7 @@
     incoming: BTreeMap<CallKey, usize>,
     tickets: u64,
     done: (Vec<Data>, Vec<Output>),
-    pub(crate) packets: Vec<(u32, Data)>,
+    pub(crate) packets: Vec<Data>,
     pub(crate) news: VecDeque<News>,
 }
 
@@ -191,8 +189,12 @@
         self.fars.iter().enumerate().map(|(place, far)| (link_of(place), far.host.clone()))
     }
 
+    fn place_of(&self, server: ServerId) -> Option<usize> {
+        self.fars.iter().position(|far| far.number == server)
+    }
+
     pub(crate) fn leads_to(&self, server: ServerId) -> bool {
-        self.fars.iter().any(|far| far.number == server)
+        self.place_of(server).is_some()
     }
 
     /// The server with a point code.
@@ -226,7 +228,7 @@
         setup: Setup,
         claim: Claim,
     ) {
-        let Some(far) = self.fars.iter().position(|far| far.number == server) else { return };
+        let Some(far) = self.place_of(server) else { return };
         self.attempts.insert(attempt, Attempt { far, setup, claim, tried: Vec::new(), stands: false });
         self.try_next(now, attempt, End::NoCircuit);
     }
@@ -261,7 +263,7 @@
 
     /// Releases an attempt. It is done once the circuit is free again: until the RLC the far end may hold the call.
     pub(crate) fn release(&mut self, now: Micros, id: AttemptId, server: ServerId) {
-        let far = self.fars.iter().position(|far| far.number == server).unwrap_or(0);
+        let Some(far) = self.place_of(server) else { return };
         self.attempts.remove(&id);
         match self.office.trunks().circuit_of(CallKey(id.0)) {
             Some((group, cic)) => {
@@ -334,7 +336,7 @@
     fn settle(&mut self, now: Micros) {
         loop {
             let (packets, outputs) = std::mem::take(&mut self.done);
-            self.packets.extend(packets.into_iter().map(|data| (data.dpc, data)));
+            self.packets.extend(packets);
             if outputs.is_empty() {
                 break;
             }
@@ -368,7 +370,7 @@
                 let far = attempt.far;
                 self.news.push_back(News::Stands(id, self.report(far)));
             }
-            Output::Ended(call, _) if call.0 >= INCOMING => self.left(call),
+            Output::Ended(call, _) if call.is_incoming() => self.left(call),
             Output::Ended(call, end) if tries_next_group(end) => self.try_next(now, AttemptId(call.0), end),
             Output::Ended(call, end) => self.end(AttemptId(call.0), end),
             Output::Incoming { call, group, setup } => self.seized(now, call, group, &setup),
@@ -403,7 +405,7 @@
         let Some(far) = self.incoming.remove(&call) else { return };
         self.tickets += 1;
         // A ticket of no call: the answer to this goes nowhere.
-        self.news.push_back(News::Left(call, Request { link: link_of(far), ticket: self.tickets }));
+        self.news.push_back(News::Left(call, far, Request { link: link_of(far), ticket: self.tickets }));
     }
 
     pub(crate) fn host(&self, far: usize) -> Arc<str> {
--- a/crates/desk/tests/trunk.rs
+++ b/crates/desk/tests/trunk.rs
@@ -93,7 +93,7 @@
 
 fn signals(out: &[DeskOutput]) -> Vec<Signal> {
     let of = |out: &DeskOutput| match out {
-        DeskOutput::ToFarEnd { point: FAR, data } => Some(Signal::read(&data.message).expect("our own")),
+        DeskOutput::ToFarEnd(data) if data.dpc == FAR => Some(Signal::read(&data.message).expect("our own")),
         _ => None,
     };
     out.iter().filter_map(of).collect()
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -617,6 +617,10 @@
         self.arm(Node::Server(server));
     }
 
+    fn far_at(&self, point: u32) -> Option<usize> {
+        self.fars.iter().position(|(_, other)| *other == point)
+    }
+
     fn far(&mut self, far: usize, input: FarInput) {
         let now = self.queue.now();
         let mut out = Vec::new();
@@ -756,8 +760,8 @@
                 DeskOutput::ToServer { server, .. } | DeskOutput::Reply { server, .. } => {
                     self.fronts[front].place(*server).map(|server| Node::ToServer(front, server))
                 }
-                DeskOutput::ToFarEnd { point, .. } => {
-                    let far = self.fars.iter().position(|(_, other)| other == point);
+                DeskOutput::ToFarEnd(data) => {
+                    let far = self.far_at(data.dpc);
                     far.map(|far| Node::ToFar(front, far))
                 }
                 DeskOutput::Text { .. } | DeskOutput::ToFront { .. } => None,
@@ -781,8 +785,8 @@
                 self.fronts[front].out_to_server(output, &mut did);
                 self.did(front, Node::ToServer(front, place), did);
             }
-            DeskOutput::ToFarEnd { point, data } => {
-                let Some(far) = self.fars.iter().position(|(_, other)| *other == point) else { return };
+            DeskOutput::ToFarEnd(data) => {
+                let Some(far) = self.far_at(data.dpc) else { return };
                 if let Some(id) = self.conns.of(End::FrontFar(front, far)).last().copied() {
                     self.post(id, THERE, Parcel::Packet(data));
                 }
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -203,8 +203,8 @@
                     (None, None) => {}
                 },
                 // Without room it is lost, as a network loses some: the far end does not read, and timers say it again.
-                DeskOutput::ToFarEnd { point, data } => {
-                    drop(self.fars.get(&point).map(|to| to.try_send(data)));
+                DeskOutput::ToFarEnd(data) => {
+                    drop(self.fars.get(&data.dpc).map(|to| to.try_send(data)));
                 }
                 DeskOutput::Reply { server, message } => send(&self.servers, server, ToLink::Send(message)),
                 DeskOutput::ToFront { to, payload } => {
--- a/crates/trunk/src/group.rs
+++ b/crates/trunk/src/group.rs
@@ -9,7 +9,7 @@
 use crate::types::{Cic, Usage};
 
 /// Most circuits of a group: CICs have 12 bits.
-const CIRCUITS_MAX: u16 = 4_096;
+pub const CIRCUITS_MAX: u16 = 4_096;
 
 /// A group as it is configured.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
--- a/crates/trunk/src/lib.rs
+++ b/crates/trunk/src/lib.rs
@@ -18,7 +18,7 @@
 mod types;
 
 pub use audit::AuditSettings;
-pub use group::{GroupSpec, SpecError};
+pub use group::{GroupSpec, SpecError, CIRCUITS_MAX};
 pub use timers::TimerSettings;
 pub use trunks::{Counts, Trunks};
 pub use types::{
--- a/crates/trunk/src/trunks.rs
+++ b/crates/trunk/src/trunks.rs
@@ -52,9 +52,6 @@
     yields: u8,
 }
 
-/// Names of incoming calls begin here.
-const INCOMING: u64 = 1 << 63;
-
 /// See the crate's page.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Trunks {
@@ -93,7 +90,7 @@
             groups,
             outgoing: BTreeMap::new(),
             incoming: BTreeMap::new(),
-            next_incoming: INCOMING,
+            next_incoming: CallKey::FIRST_INCOMING.0,
             timers,
             audit,
             agenda: Agenda::default(),
--- a/crates/trunk/src/types.rs
+++ b/crates/trunk/src/types.rs
@@ -13,6 +13,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallKey(pub u64);
 
+impl CallKey {
+    pub(crate) const FIRST_INCOMING: Self = Self(1 << 63);
+
+    /// Whether the far end set it up.
+    pub fn is_incoming(self) -> bool {
+        self >= Self::FIRST_INCOMING
+    }
+}
+
 /// What an initial address message asks for.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Setup {
