--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -16,8 +16,8 @@
 use crate::pool::Pool;
 use crate::timers::{Timer, Timers};
 use crate::types::{
-    AttemptEnd, AttemptId, Final, Input, LinkId, LinkState, Offer, Output, Process, Refusal, ReleaseResult,
-    Request, Session,
+    AttemptEnd, AttemptId, Final, Input, Known, LinkId, LinkState, Offer, Output, Process, Refusal,
+    ReleaseResult, Request, Session,
 };
 
 /// The engine answers a call itself so long before its caller gives up, should the module not have.
@@ -226,7 +226,9 @@
             Input::ClientDown(link) => self.client_down(link),
             Input::Stands { attempt, report } => self.stands(attempt, report, out),
             Input::Ended { attempt, end } => self.ended(attempt, end, out),
-            Input::Cut { attempt, report } => self.cut(attempt, report, out),
+            Input::Cut { attempt, report } => self.over(attempt, Outcome::Reset, report, out),
+            Input::Over { attempt, report } => self.over(attempt, Outcome::Ok, report, out),
+            Input::Adopted { session, class, server } => self.adopt(session, class, server, out),
             Input::ReleaseDone { attempt, report } => self.release_done(attempt, report),
             Input::ServerLink { server, state } => self.server_link(server, state, out),
             Input::Drains(server) => {
@@ -263,6 +265,17 @@
         self.attempts.contains_key(&attempt)
     }
 
+    /// What is known of a call by its name. Drivers whose callers never repeat a name ask this first, so that the
+    /// memory of answers gives no 'stands' to a name that is used again.
+    pub fn knows(&mut self, session: &Session) -> Option<Known> {
+        let held = self.sessions.get(session).and_then(|id| self.calls.get(id));
+        match held.map(|held| held.phase) {
+            Some(Phase::Standing(_)) => Some(Known::Standing),
+            Some(_) => Some(Known::InSetUp),
+            None => self.memory.get(self.now, session).map(|_| Known::Over),
+        }
+    }
+
     /// Calls held, in set-up or standing.
     pub fn calls_held(&self) -> usize {
         self.calls.len()
@@ -364,12 +377,13 @@
         held.sent += 1;
         held.phase = Phase::Out(attempt);
         let (class, session) = (held.class, held.session.clone());
-        let record = Attempt { call: id, index, server, class, sent_at: now, stage: Stage::Out };
+        let record =
+            Attempt { call: id, index, server, class, sent_at: now, stage: Stage::Out, adopted: false };
         self.attempts.insert(attempt, record);
         self.by_server.entry(server).or_default().insert(attempt);
         self.timers.set(now.saturating_add(timeout), Timer::Attempt(attempt));
         self.counts.set_ups += 1;
-        out.push(Output::SetUp { attempt, server, call: id, index, class, session, payload });
+        out.push(Output::SetUp { attempt, server, call: id, index, class, timeout, session, payload });
     }
 
     /// A set-up that was never sent ends at once.
@@ -616,7 +630,7 @@
                     self.end_attempt(id, end, false);
                 }
             }
-            Some(Stage::Standing) => self.cut(id, end.report, out),
+            Some(Stage::Standing) => self.over(id, Outcome::Reset, end.report, out),
             Some(Stage::Releasing { .. }) | None => self.counts.late += 1,
         }
     }
@@ -647,6 +661,9 @@
     }
 
     fn tell_end(&mut self, attempt: &Attempt, end: AttemptEnd, complete: bool) {
+        if attempt.adopted {
+            return self.news(attempt.server, end.report);
+        }
         self.events.push_back(Event::Ended {
             call: attempt.call,
             attempt: attempt.index,
@@ -719,12 +736,15 @@
         }
     }
 
-    fn cut(&mut self, id: AttemptId, report: Report, out: &mut Vec<Output<P>>) {
-        let end = AttemptEnd { report, ..AttemptEnd::plain(Outcome::Reset) };
+    /// The server's word that an attempt is over: `Ok` only says so of one that stands.
+    fn over(&mut self, id: AttemptId, outcome: Outcome, report: Report, out: &mut Vec<Output<P>>) {
+        let stands = self.attempts.get(&id).is_some_and(|a| a.stage == Stage::Standing);
+        let outcome = if stands { outcome } else { Outcome::Reset };
+        let end = AttemptEnd { report, ..AttemptEnd::plain(outcome) };
         match self.attempts.get(&id).map(|a| (a.stage, a.call)) {
             Some((Stage::Standing, call)) => {
-                self.counts.cut += 1;
-                self.tell_cut(call, out);
+                self.counts.cut += u64::from(outcome != Outcome::Ok);
+                self.tell_over(call, outcome, out);
                 self.forget_call(call, Final::Stands);
                 self.end_attempt(id, end, true);
             }
@@ -734,14 +754,50 @@
         }
     }
 
-    fn tell_cut(&mut self, id: CallId, out: &mut Vec<Output<P>>) {
+    fn tell_over(&mut self, id: CallId, outcome: Outcome, out: &mut Vec<Output<P>>) {
         let Some(held) = self.calls.get(&id) else { return };
         let owner = &held.session.owner;
-        if let Some((link, _)) = self.links.iter().rev().find(|(_, other)| *other == owner) {
-            out.push(Output::Cut { link: *link, session: held.session.clone(), class: held.class });
+        let session = held.session.clone();
+        match self.links.iter().rev().find(|(_, other)| *other == owner) {
+            Some((link, _)) => out.push(Output::Cut { link: *link, session, class: held.class }),
+            None => out.push(Output::Over { session, outcome }),
         }
     }
 
+    /// A call that another process set up. The module hears nothing of it: it was never asked.
+    fn adopt(&mut self, session: Session, class: usize, server: ServerId, out: &mut Vec<Output<P>>) {
+        if self.sessions.contains_key(&session) {
+            return;
+        }
+        if self.calls.len() >= self.limits.calls {
+            self.counts.bound += 1;
+            return out.push(Output::Over { session, outcome: Outcome::Reset });
+        }
+        let (call, attempt, now) = (self.new_call_id(), AttemptId(self.next_attempt), self.now);
+        self.next_attempt += 1;
+        let stage = Stage::Standing;
+        let record = Attempt { call, index: 0, server, class, sent_at: now, stage, adopted: true };
+        self.attempts.insert(attempt, record);
+        self.by_server.entry(server).or_default().insert(attempt);
+        self.by_owner.entry(session.owner.clone()).or_default().insert(call);
+        self.sessions.insert(session.clone(), call);
+        let held = Held {
+            session: session.clone(),
+            waiting: Vec::new(),
+            phase: Phase::Standing(attempt),
+            class,
+            answer_by: now,
+            asked: 0,
+            sent: 0,
+            unsure_at: None,
+            held_back: 0,
+            payload: None,
+            away_since: None,
+        };
+        self.calls.insert(call, held);
+        out.push(Output::Adopted { attempt, server, session });
+    }
+
     fn remove_attempt(&mut self, id: AttemptId) -> Option<Attempt> {
         let attempt = self.attempts.remove(&id)?;
         if let Some(ids) = self.by_server.get_mut(&attempt.server) {
@@ -829,7 +885,7 @@
         for id in self.attempts_at(server) {
             match self.attempts.get(&id).map(|a| a.stage) {
                 Some(Stage::Releasing { .. }) => self.release_done(id, Report::default()),
-                Some(_) => self.cut(id, Report::default(), out),
+                Some(_) => self.over(id, Outcome::Reset, Report::default(), out),
                 None => {}
             }
         }
@@ -924,7 +980,7 @@
         let all: Vec<_> = self.calls.iter().filter_map(|(id, held)| Some((*id, standing(held)?))).collect();
         for (id, attempt) in all {
             self.counts.cut += 1;
-            self.tell_cut(id, out);
+            self.tell_over(id, Outcome::Reset, out);
             self.release_standing(id, attempt, out);
         }
     }
--- a/crates/call/src/held.rs
+++ b/crates/call/src/held.rs
@@ -65,4 +65,6 @@
     pub(crate) class: usize,
     pub(crate) sent_at: Micros,
     pub(crate) stage: Stage,
+    /// Taken over from another process: the module never heard of it.
+    pub(crate) adopted: bool,
 }
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -23,6 +23,8 @@
 //! | attempt called off | `Ended(Cancelled)`, then a release | |
 //! | caller releases a standing call | at the server's word or its time-out: `Ended(Ok)` | in it |
 //! | caller gives up before the answer | `Abandoned`, `Ended(Cancelled)` if one is out | |
+//! | server ends a standing call | `Ended(Ok)`, complete | in it |
+//! | call taken over that stands already | none; its end: a report alone, as unasked news | own event: `Probed` |
 //! | server cuts a standing call | `Ended(Reset)`, complete | in it |
 //! | server gone or restarted with standing calls | `Ended(Reset)`, complete, each | |
 //! | unasked news of load | `Probed` with lag 0 | in it |
@@ -52,6 +54,6 @@
 
 pub use engine::{Counts, Engine, EngineError, Limits, Policy};
 pub use types::{
-    AttemptEnd, AttemptId, Final, Input, LinkId, LinkState, Offer, Output, Process, Refusal, ReleaseResult,
-    Request, Session,
+    AttemptEnd, AttemptId, Final, Input, Known, LinkId, LinkState, Offer, Output, Process, Refusal,
+    ReleaseResult, Request, Session,
 };
--- a/crates/call/src/types.rs
+++ b/crates/call/src/types.rs
@@ -139,6 +139,22 @@
         /// The load report on it.
         report: Report,
     },
+    /// The server ends a call that stands, as it should end.
+    Over {
+        /// Which.
+        attempt: AttemptId,
+        /// The load report on it.
+        report: Report,
+    },
+    /// A call that stands at a server already, set up by another process, is taken over from here.
+    Adopted {
+        /// The call.
+        session: Session,
+        /// Index of its class.
+        class: usize,
+        /// Where it stands.
+        server: ServerId,
+    },
     /// The server answered a release.
     ReleaseDone {
         /// Of which attempt.
@@ -179,6 +195,17 @@
     CutAll,
 }
 
+/// What is known of a call by its name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Known {
+    /// In set-up.
+    InSetUp,
+    /// It stands.
+    Standing,
+    /// Answered or over, and still remembered.
+    Over,
+}
+
 /// Why a call is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
@@ -230,6 +257,8 @@
         index: u16,
         /// Index of its class.
         class: usize,
+        /// It is given up after so long.
+        timeout: Micros,
         /// The caller's name for it.
         session: Session,
         /// The offer's payload.
@@ -273,6 +302,23 @@
         /// Index of its class.
         class: usize,
     },
+    /// A standing call has come to its end, and its owner has no link that the engine knows: whoever routes by
+    /// call tells the caller.
+    Over {
+        /// The call.
+        session: Session,
+        /// `Ok` where it ended as it should, else cut.
+        outcome: Outcome,
+    },
+    /// A call was taken over; it stands as this attempt.
+    Adopted {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where.
+        server: ServerId,
+        /// The caller's name for the call.
+        session: Session,
+    },
     /// Send a message to another front.
     Tell {
         /// Its ordinal.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod day;
 mod demo;
 mod front;
+mod node;
 mod trunks;
 
 use std::path::PathBuf;
@@ -44,6 +45,8 @@
         /// Its configuration.
         config: PathBuf,
     },
+    /// Runs a front node of the users' platform; configured by the file that RELAY_CONFIG names.
+    Node,
     /// Checks a configuration; all that is wrong with it, each with its line.
     Check {
         /// The configuration.
@@ -73,9 +76,13 @@
         LogForm::Text => log.init(),
         LogForm::Json => log.json().init(),
     }
+    if matches!(args.command, Command::Node) {
+        return node::run();
+    }
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().into_diagnostic()?;
     match args.command {
         Command::Front { config } => runtime.block_on(front::run(&config)),
+        Command::Node => node::run(),
         Command::Check { config } => front::check(&config),
         Command::Demo(args) => runtime.block_on(demo::run(args)),
         Command::Day(args) => runtime.block_on(day::run(args)),
--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -679,7 +679,7 @@
             Output::Release { attempt, server, .. } if self.trunk.leads_to(server) => {
                 self.trunk.release(now, attempt, server);
             }
-            Output::SetUp { attempt, server, call, index, class, session, payload } => {
+            Output::SetUp { attempt, server, call, index, class, session, payload, timeout: _ } => {
                 payload.span.in_scope(|| debug!(call, index, server, attempt = attempt.0, "set up"));
                 let message = self.set_up(attempt, server, class, &session, &payload);
                 out.push(DeskOutput::ToServer { server, attempt, kind: Kind::SetUp, message });
@@ -727,6 +727,8 @@
                 };
                 out.push(DeskOutput::ToClient { link, message: credit::abort(ends, &session.id) });
             }
+            // Callers here are told by their links, and no call is taken over.
+            Output::Over { .. } | Output::Adopted { .. } => {}
             Output::Tell { to, payload } => out.push(DeskOutput::ToFront { to, payload }),
             // Lists are pushed: there is nothing to subscribe to.
             Output::Watch => {}
--- /dev/null
+++ b/crates/node/src/coat/line.rs
@@ -0,0 +1,155 @@
+//! One TCP connection: whole messages in, bytes out at once where the socket takes them.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use baydrift_platform::{Frames, Message};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, Notify};
+
+/// What a connection tells the core; `K` names it.
+#[derive(Debug)]
+pub(super) enum Said<K> {
+    /// A message has come.
+    Message(K, Message),
+    /// The rest of a message is missing still.
+    Part(K),
+    /// It has ended, or cannot be read any further.
+    Down(K),
+}
+
+/// Bytes read at once.
+const READ: usize = 16 * 1024;
+/// Bytes that wait for a slow reader at the most; beyond it the connection is closed.
+const UNSENT_MAX: usize = 256 * 1024;
+
+thread_local! {
+    /// One buffer for all: nothing is awaited between a read and the copy into the connection's own.
+    static BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; READ]);
+}
+
+/// The core's end of a connection.
+pub(super) struct Line {
+    stream: TcpStream,
+    unsent: RefCell<Vec<u8>>,
+    flushing: Cell<bool>,
+    closed: Cell<bool>,
+    woken: Notify,
+    /// Bytes that wait must be gone within this.
+    patience: Duration,
+}
+
+impl Line {
+    pub(super) fn new(stream: TcpStream, patience: Duration) -> Rc<Self> {
+        // Messages are small and each waits for an answer; a failure only makes it slower.
+        let _ = stream.set_nodelay(true);
+        Rc::new(Self {
+            stream,
+            unsent: RefCell::default(),
+            flushing: Cell::new(false),
+            closed: Cell::new(false),
+            woken: Notify::new(),
+            patience,
+        })
+    }
+
+    /// Writes now what the socket takes, in one piece as a rule; the rest follows as soon as it can.
+    pub(super) fn write(self: &Rc<Self>, bytes: &[u8]) {
+        if self.closed.get() {
+            return;
+        }
+        let sent = if self.unsent.borrow().is_empty() { self.try_write(bytes) } else { 0 };
+        if sent == bytes.len() {
+            return;
+        }
+        self.unsent.borrow_mut().extend_from_slice(&bytes[sent..]);
+        if self.unsent.borrow().len() > UNSENT_MAX {
+            return self.close();
+        }
+        if !self.flushing.replace(true) {
+            let line = self.clone();
+            tokio::task::spawn_local(async move { line.flush().await });
+        }
+    }
+
+    fn try_write(&self, bytes: &[u8]) -> usize {
+        match self.stream.try_write(bytes) {
+            Ok(n) => n,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => 0,
+            // The reader sees the same end and tells of it.
+            Err(_) => 0,
+        }
+    }
+
+    async fn flush(self: Rc<Self>) {
+        let all = async {
+            while !self.unsent.borrow().is_empty() && !self.closed.get() {
+                if self.stream.writable().await.is_err() {
+                    return;
+                }
+                let mut unsent = self.unsent.borrow_mut();
+                let sent = self.try_write(&unsent);
+                unsent.drain(..sent);
+            }
+        };
+        // Guards against a reader that never reads: it holds a bounded buffer for a bounded time.
+        if tokio::time::timeout(self.patience, all).await.is_err() {
+            self.close();
+        }
+        self.flushing.set(false);
+    }
+
+    /// Whether all is written.
+    pub(super) fn is_flushed(&self) -> bool {
+        self.closed.get() || self.unsent.borrow().is_empty()
+    }
+
+    /// Ends the connection; its reader tells of it and lets go of the socket.
+    pub(super) fn close(&self) {
+        self.closed.set(true);
+        self.woken.notify_one();
+    }
+
+    /// Reads until the connection ends or is closed. A full queue to the core holds the sender back.
+    pub(super) async fn read<K: Copy, T: From<Said<K>>>(self: Rc<Self>, key: K, core: mpsc::Sender<T>) {
+        let mut frames = Frames::default();
+        'line: while !self.closed.get() {
+            tokio::select! {
+                ready = self.stream.readable() => if ready.is_err() { break },
+                () = self.woken.notified() => break,
+            }
+            let read = BUFFER.with_borrow_mut(|buffer| {
+                let n = self.stream.try_read(buffer)?;
+                frames.put(&buffer[..n]);
+                Ok::<_, io::Error>(n)
+            });
+            match read {
+                Ok(0) => break,
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
+                Err(_) => break,
+            }
+            loop {
+                match frames.take() {
+                    Ok(Some(message)) => {
+                        if core.send(Said::Message(key, message).into()).await.is_err() || self.closed.get() {
+                            break 'line;
+                        }
+                    }
+                    Ok(None) => break,
+                    Err(fault) => {
+                        tracing::debug!("a connection is closed: {fault}");
+                        break 'line;
+                    }
+                }
+            }
+            if frames.is_part() && core.send(Said::Part(key).into()).await.is_err() {
+                break;
+            }
+        }
+        self.closed.set(true);
+        let _ = core.send(Said::Down(key).into()).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/state/callers.rs
@@ -0,0 +1,268 @@
+//! Callers' connections: what is offered on them, and what is said back.
+//!
+//! No connection owns a call that stands. A connection's open set-ups end with it, its standing calls do not.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::net::IpAddr;
+
+use baydrift::interface::{Micros, Outcome};
+use baydrift_call::{Input as Moment, Known, LinkId, Offer, Request};
+use baydrift_platform::list::server_id;
+use baydrift_platform::setup::SetUp;
+use baydrift_platform::{Cause, Code, Fault, Id, Kind, Message};
+use bytes::Bytes;
+
+use super::{Caller, Node, Output, Payload};
+
+/// A connection that has brought nothing of use by then is closed: callers connect to say something, and one that
+/// says nothing, half a message or only what means nothing here is owed a close within 3 s.
+const USEFUL_WITHIN: Micros = 2_000_000;
+/// Messages that cannot be used before a connection is closed, lest it sends on at full speed.
+const FAULTS_MAX: u32 = 4;
+/// Ends of calls that wait for a connection of their caller, and for how long: 8 s at most are allowed.
+const OWED: (usize, Micros) = (1_000, 7_000_000);
+
+/// One caller's connection.
+#[derive(Debug)]
+pub(super) struct Link {
+    ip: IpAddr,
+    opened: Micros,
+    /// Its calls in set-up.
+    open: BTreeSet<Id>,
+    /// Calls that stand and were set up or named here.
+    standing: usize,
+    useful: bool,
+    faults: u32,
+}
+
+/// Ends of calls whose caller has no connection just now.
+#[derive(Debug, Default)]
+pub(super) struct Owed(VecDeque<(Micros, IpAddr, Id, u8)>);
+
+impl Node {
+    pub(super) fn caller_up(&mut self, link: LinkId, ip: IpAddr, out: &mut Vec<Output>) {
+        if self.links.len() >= self.links_max {
+            // At the bound the oldest idle connection goes, so that callers still get in.
+            let idle = |stands: bool| {
+                let fits = |l: &&LinkId| {
+                    self.links.get(l).is_some_and(|l| l.open.is_empty() && (stands || l.standing == 0))
+                };
+                self.links.keys().find(fits).copied()
+            };
+            match idle(false).or_else(|| idle(true)) {
+                Some(old) => self.close_caller(old, out),
+                None => return out.push(Output::CloseCaller(link)),
+            }
+        }
+        let fresh =
+            Link { ip, opened: self.now, open: BTreeSet::new(), standing: 0, useful: false, faults: 0 };
+        self.links.insert(link, fresh);
+        let now = self.now;
+        self.owed.0.retain(|(at, ..)| now < at + OWED.1);
+        let owed: Vec<_> = self.owed.0.iter().filter(|(_, whose, ..)| *whose == ip).copied().collect();
+        self.owed.0.retain(|(_, whose, ..)| *whose != ip);
+        for (_, _, call, cause) in owed {
+            write(out, link, &Message::release(call, cause));
+        }
+    }
+
+    pub(super) fn from_caller(&mut self, link: LinkId, message: Message, out: &mut Vec<Output>) {
+        if !self.links.contains_key(&link) {
+            return;
+        }
+        match message.kind {
+            Kind::SetUp => {
+                if let Err(fault) = self.offered(link, &message, out) {
+                    tracing::debug!("set-up {}: {fault}", message.call);
+                    self.unusable(link, message.call, out);
+                }
+            }
+            Kind::Release => self.released(link, message.call, out),
+            Kind::Test => {
+                if let Some(link) = self.links.get_mut(&link) {
+                    link.useful = true;
+                }
+                let tested = Message::new(Kind::Tested, message.call).with(Code::CAUSE, vec![Cause::PASSED]);
+                write(out, link, &tested);
+            }
+            Kind::Progress | Kind::Heard => {}
+            // Only a front node or a signalling server sends these.
+            Kind::Answer | Kind::Tested | Kind::State => self.close_caller(link, out),
+        }
+    }
+
+    fn offered(&mut self, link: LinkId, message: &Message, out: &mut Vec<Output>) -> Result<(), Fault> {
+        let call = message.call;
+        let setup = SetUp::read(message, self.longest_wait)?;
+        let wrong = |code, what| Fault::Value { code, what };
+        if call == Id::default() {
+            return Err(wrong(0, "no id"));
+        }
+        let class = self.wording.classes.iter().position(|name| *name == setup.class);
+        let class = class.ok_or(wrong(Code::CLASS, "unknown class"))?;
+        let tenant = match &setup.tenant {
+            Some(name) => self.wording.tenants.iter().position(|own| own == name),
+            None => self.wording.tenants.is_empty().then_some(0),
+        };
+        let tenant = tenant.ok_or(wrong(Code::TENANT, "unknown tenant"))?;
+        let session = self.session(call);
+        if let Some(at) = &setup.at {
+            let known = self.engine.knows(&session);
+            if known == Some(Known::Standing) || known.is_none() {
+                self.stands_already(link, call);
+            }
+            if known.is_none() {
+                self.engine(Moment::Adopted { session, class, server: server_id(at) }, out);
+            }
+            return Ok(());
+        }
+        if setup.width < 1.0 || self.wording.widths.get(class).is_some_and(|most| setup.width > *most) {
+            return Err(wrong(Code::FIGURES, "width out of range"));
+        }
+        match self.engine.knows(&session) {
+            // Guards against an answer that two set-ups could claim: on one connection nobody can tell them apart.
+            Some(Known::InSetUp) if self.calls.get(&call).is_some_and(|own| own.link == link) => {
+                self.close_caller(link, out);
+                return Ok(());
+            }
+            Some(_) => return Err(wrong(0, "the id is in use or was used")),
+            None => {}
+        }
+        if let Some(link) = self.links.get_mut(&link) {
+            link.useful = true;
+            link.open.insert(call);
+        }
+        let ip = self.links.get(&link).map(|link| link.ip);
+        self.calls.insert(call, Caller { link, ip, stands: false });
+        let payload = Payload {
+            class: Bytes::from(setup.class),
+            number: setup.number.0,
+            description: setup.description,
+        };
+        let offer = Offer {
+            session,
+            request: Request { link, ticket: 0 },
+            class,
+            tenant,
+            number: setup.number.1,
+            first_choice: setup.dest,
+            gives_up_in: setup.wait,
+            redial: self.wording.marks_redials.then_some(setup.redial),
+            was_cut: setup.was_cut,
+            payload,
+        };
+        self.engine(Moment::Offered(offer), out);
+        Ok(())
+    }
+
+    /// A set-up that nothing can be done with.
+    fn unusable(&mut self, link: LinkId, call: Id, out: &mut Vec<Output>) {
+        self.counts.unusable += 1;
+        write(out, link, &Message::release(call, Cause::INVALID));
+        let Some(own) = self.links.get_mut(&link) else { return };
+        own.faults += 1;
+        if own.faults >= FAULTS_MAX {
+            self.close_caller(link, out);
+        }
+    }
+
+    /// A caller names a call that stands: its end is told here from now on.
+    fn stands_already(&mut self, link: LinkId, call: Id) {
+        self.leave(call);
+        let Some(own) = self.links.get_mut(&link) else { return };
+        own.useful = true;
+        own.standing += 1;
+        self.calls.insert(call, Caller { link, ip: Some(own.ip), stands: true });
+    }
+
+    /// A caller gives a set-up up, or releases a call that stands.
+    fn released(&mut self, link: LinkId, call: Id, out: &mut Vec<Output>) {
+        let Some(caller) = self.calls.get(&call).copied() else { return };
+        if let Some(own) = self.links.get_mut(&link) {
+            own.useful |= caller.stands;
+        }
+        // Forgotten before the engine hears of it: no answer is owed any more.
+        self.leave(call);
+        let (session, request) = (self.session(call), Request { link, ticket: 0 });
+        self.engine(Moment::Released { session, request }, out);
+    }
+
+    pub(super) fn caller_down(&mut self, link: LinkId, out: &mut Vec<Output>) {
+        let Some(own) = self.links.remove(&link) else { return };
+        for call in own.open {
+            self.calls.remove(&call);
+            let (session, request) = (self.session(call), Request { link, ticket: 0 });
+            self.engine(Moment::Released { session, request }, out);
+        }
+    }
+
+    fn close_caller(&mut self, link: LinkId, out: &mut Vec<Output>) {
+        self.counts.closed += 1;
+        out.push(Output::CloseCaller(link));
+        self.caller_down(link, out);
+    }
+
+    pub(super) fn tell_stands(&mut self, call: Id, description: Bytes, out: &mut Vec<Output>) {
+        let Some(caller) = self.calls.get_mut(&call) else { return };
+        caller.stands = true;
+        let link = caller.link;
+        if let Some(own) = self.links.get_mut(&link) {
+            own.open.remove(&call);
+            own.standing += 1;
+        }
+        write(out, link, &Message::new(Kind::Answer, call).with(Code::DESCRIPTION, description));
+    }
+
+    pub(super) fn tell_refused(&mut self, call: Id, harmless: bool, out: &mut Vec<Output>) {
+        let Some(caller) = self.leave(call) else { return };
+        let cause = if harmless { Cause::NO_CIRCUIT } else { Cause::TEMPORARY };
+        write(out, caller.link, &Message::release(call, cause));
+    }
+
+    /// A call that stood is over: its caller hears it on the connection of its set-up, or else on the newest one
+    /// from the same address, or on the next.
+    pub(super) fn call_over(&mut self, call: Id, outcome: Outcome, out: &mut Vec<Output>) {
+        let Some(caller) = self.leave(call) else { return };
+        let cause = if outcome == Outcome::Ok { Cause::NORMAL } else { Cause::TEMPORARY };
+        let near = |link: &super::callers::Link| Some(link.ip) == caller.ip;
+        let own = self.links.contains_key(&caller.link).then_some(caller.link);
+        let link = own.or_else(|| self.links.iter().rev().find(|(_, l)| near(l)).map(|(id, _)| *id));
+        match (link, caller.ip) {
+            (Some(link), _) => write(out, link, &Message::release(call, cause)),
+            (None, Some(ip)) => {
+                if self.owed.0.len() >= OWED.0 {
+                    self.owed.0.pop_front();
+                }
+                self.owed.0.push_back((self.now, ip, call, cause));
+            }
+            (None, None) => {}
+        }
+    }
+
+    /// Forgets where a call's caller is.
+    fn leave(&mut self, call: Id) -> Option<Caller> {
+        let caller = self.calls.remove(&call)?;
+        if let Some(link) = self.links.get_mut(&caller.link) {
+            link.open.remove(&call);
+            link.standing -= usize::from(caller.stands && link.standing > 0);
+        }
+        Some(caller)
+    }
+
+    pub(super) fn look_at_callers(&mut self, out: &mut Vec<Output>) {
+        let late = |link: &Link| !link.useful && self.now >= link.opened + USEFUL_WITHIN;
+        let late: Vec<_> = self.links.iter().filter(|(_, link)| late(link)).map(|(id, _)| *id).collect();
+        for link in late {
+            self.close_caller(link, out);
+        }
+    }
+}
+
+/// Writes a message, which was made here and so is never too long but for a description that came too long.
+pub(super) fn write(out: &mut Vec<Output>, link: LinkId, message: &Message) {
+    let mut bytes = Vec::new();
+    match message.write(&mut bytes) {
+        Ok(()) => out.push(Output::ToCaller(link, bytes)),
+        Err(fault) => tracing::warn!("not written: {fault}"),
+    }
+}
--- /dev/null
+++ b/crates/node/src/state/mod.rs
@@ -0,0 +1,378 @@
+//! The front node's state: inputs with the time in, outputs out. No I/O, no clock, no chance but seeded.
+//!
+//! `callers` has callers' connections and what they offer, `servers` the signalling servers' connections and the
+//! attempts on them, `names` the asking of the name server. All that is decided comes from the call engine and
+//! the module behind it; here it is only brought to the right connection.
+
+mod callers;
+mod names;
+mod servers;
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+
+use baydrift::interface::{ListKind, Micros};
+use baydrift_call::{
+    AttemptId, Engine, EngineError, Final, Input as Moment, Limits, LinkId, Output as Order, Session,
+};
+use baydrift_platform::{Fleet, Id, Message};
+use bytes::Bytes;
+
+pub use servers::ConnId;
+
+use crate::config::Config;
+
+/// Time between looks at connections that should have said something.
+const LOOK: Micros = 50_000;
+/// After SIGTERM new connections and set-ups are taken for so long: the platform hands over within 0.6 s ...
+const HAND_OVER: Micros = 900_000;
+/// ... and what is still open then is answered by this time, before the kill at 3.7 s at the earliest.
+const LAST_ANSWER: Micros = 3_200_000;
+/// Answered calls are remembered for so long, so that an id that is used again is refused.
+const MEMORY: (usize, Micros) = (4_096, 10_000_000);
+/// Calls held at once, in set-up or standing, whatever the settings allow: a few megabytes.
+const CALLS_MAX: u32 = 6_000;
+/// Calls in set-up of one connection.
+const PER_LINK_MAX: usize = 1_000;
+
+/// What came.
+#[derive(Debug)]
+pub enum Input {
+    /// A caller connected.
+    CallerUp(LinkId, IpAddr),
+    /// A caller sent a message.
+    FromCaller(LinkId, Message),
+    /// A caller's connection ended, or what it sent cannot be read.
+    CallerDown(LinkId),
+    /// A connection to a signalling server is up.
+    ServerUp(ConnId),
+    /// It never came up. `true`: it was refused, so nothing runs there.
+    DialFailed(ConnId, bool),
+    /// A signalling server sent a message.
+    FromServer(ConnId, Message),
+    /// Part of a message has come.
+    Part(ConnId),
+    /// A connection that was up ended, or what came on it cannot be read.
+    ServerDown(ConnId),
+    /// A datagram of the name server.
+    Names(Vec<u8>),
+    /// A datagram of another front node.
+    Peer(u32, Vec<u8>),
+    /// The name server is at another address from now on.
+    Moved,
+    /// SIGTERM.
+    Stop,
+    /// Time has passed.
+    Tick,
+}
+
+/// What is to be done, in order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Output {
+    /// Write to a caller.
+    ToCaller(LinkId, Vec<u8>),
+    /// Close a caller's connection.
+    CloseCaller(LinkId),
+    /// Connect to a signalling server.
+    Dial(ConnId, SocketAddr),
+    /// Write to a signalling server.
+    ToServer(ConnId, Vec<u8>),
+    /// Close a signalling server's connection, or stop dialling it.
+    CloseServer(ConnId),
+    /// Ask the name server.
+    Ask(Vec<u8>),
+    /// A datagram for another front node.
+    ToPeer(u32, Vec<u8>),
+    /// Take no new connections.
+    Deaf,
+    /// All is answered: end the process.
+    End,
+}
+
+/// Where the caller of a call is reached.
+#[derive(Debug, Clone, Copy)]
+struct Caller {
+    link: LinkId,
+    ip: Option<IpAddr>,
+    stands: bool,
+}
+
+/// A set-up on its way to a server, or standing there.
+#[derive(Debug, Clone)]
+struct Flight {
+    server: baydrift::interface::ServerId,
+    call: Id,
+    /// The connection that it was written on; `None` while it waits for one.
+    conn: Option<ConnId>,
+    stands: bool,
+    /// When it was written, or taken over.
+    at: Micros,
+    /// Until it is written: the message.
+    unsent: Option<Unsent>,
+}
+
+/// A set-up that waits for a connection.
+#[derive(Debug, Clone)]
+struct Unsent {
+    payload: Payload,
+    since: Micros,
+    /// When the attempt is given up.
+    until: Micros,
+}
+
+/// What the engine keeps of an offer for us.
+#[derive(Debug, Clone, PartialEq)]
+struct Payload {
+    class: Bytes,
+    number: Option<Bytes>,
+    description: Bytes,
+}
+
+/// Counts for the log.
+#[derive(Debug, Clone, Default)]
+pub struct Counts {
+    /// Set-ups refused since they cannot be used.
+    pub unusable: u64,
+    /// Callers' connections closed by this node.
+    pub closed: u64,
+    /// Signalling servers' connections lost with set-ups on them.
+    pub broken: u64,
+    /// Processes of signalling servers taken for gone.
+    pub lost: u64,
+}
+
+/// The front node.
+pub struct Node {
+    engine: Engine<Payload>,
+    now: Micros,
+    wording: baydrift::config::Wording,
+    longest_wait: Micros,
+    owner: Arc<str>,
+    fleet: Fleet,
+    calls: BTreeMap<Id, Caller>,
+    links: BTreeMap<LinkId, callers::Link>,
+    links_max: usize,
+    owed: callers::Owed,
+    flights: BTreeMap<AttemptId, Flight>,
+    servers: servers::Servers,
+    names: names::Names,
+    /// A connection that is not up by then has failed.
+    dial_timeout: Micros,
+    /// The description on the answer that is being handled.
+    answer: Option<Bytes>,
+    stopped_at: Option<Micros>,
+    deaf: bool,
+    looked_at: Micros,
+    counts: Counts,
+}
+
+impl Node {
+    /// A front node that has connected to nothing yet.
+    ///
+    /// # Errors
+    /// When the settings hold a figure that nothing sensible can be done with.
+    pub fn new(config: &Config) -> Result<Self, EngineError> {
+        let max_open = if config.wording.max_open == 0 { CALLS_MAX } else { config.wording.max_open };
+        let limits = Limits {
+            calls: max_open.min(CALLS_MAX) as usize,
+            in_set_up_per_link: PER_LINK_MAX,
+            memory: MEMORY.0,
+            memory_keep: MEMORY.1,
+            servers: baydrift_platform::list::SERVERS_MAX,
+            grace: config.wording.grace,
+            ..Limits::default()
+        };
+        let bounds = servers::Bounds::of(config);
+        Ok(Self {
+            engine: Engine::new(config.settings.clone(), limits, config.seed)?,
+            now: 0,
+            longest_wait: config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0),
+            wording: config.wording.clone(),
+            owner: Arc::from("callers"),
+            fleet: config.known.clone(),
+            calls: BTreeMap::new(),
+            links: BTreeMap::new(),
+            links_max: config.sockets - bounds.kept_back(),
+            owed: callers::Owed::default(),
+            flights: BTreeMap::new(),
+            servers: servers::Servers::new(bounds),
+            names: names::Names::new(config.seed),
+            dial_timeout: config.dial_timeout(),
+            answer: None,
+            stopped_at: None,
+            deaf: false,
+            looked_at: 0,
+            counts: Counts::default(),
+        })
+    }
+
+    /// Tells the module the list of the start and connects to what is ready.
+    pub fn start(&mut self, now: Micros, out: &mut Vec<Output>) {
+        self.now = now;
+        self.told_list(out);
+        self.look(out);
+    }
+
+    /// Takes one input and leaves what is due to a later [`Input::Tick`]: what has arrived is heard before
+    /// timers fire.
+    pub fn hear(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::CallerUp(link, ip) => self.caller_up(link, ip, out),
+            Input::FromCaller(link, message) => self.from_caller(link, message, out),
+            Input::CallerDown(link) => self.caller_down(link, out),
+            Input::ServerUp(conn) => self.server_up(conn, out),
+            Input::DialFailed(conn, refused) => self.dial_failed(conn, refused, out),
+            Input::FromServer(conn, message) => self.from_server(conn, &message, out),
+            Input::Part(conn) => self.servers.part(conn, self.now),
+            Input::ServerDown(conn) => self.server_down(conn, out),
+            Input::Names(bytes) => {
+                if let Some(listed) = self.names.read(self.now, &bytes) {
+                    if self.fleet.take(listed) {
+                        self.told_list(out);
+                    }
+                }
+            }
+            Input::Peer(from, payload) => self.engine(Moment::Peer { from, payload }, out),
+            Input::Moved => self.names.moved(self.now),
+            Input::Stop => {
+                self.stopped_at.get_or_insert(self.now);
+            }
+            Input::Tick => {
+                let mut orders = Vec::new();
+                self.engine.handle(self.now, Moment::Tick, &mut orders);
+                self.carry_out(orders, out);
+                self.look(out);
+            }
+        }
+    }
+
+    /// When to come back with [`Input::Tick`] at the latest.
+    pub fn next_wake(&self) -> Micros {
+        let engine = self.engine.next_wake().unwrap_or(Micros::MAX);
+        engine.min(self.looked_at + LOOK).min(self.names.due())
+    }
+
+    /// Counts for the log: the engine's and the node's own.
+    pub fn counts(&self) -> (&baydrift_call::Counts, &Counts) {
+        (self.engine.counts(), &self.counts)
+    }
+
+    /// What is held: callers' connections, signalling servers' connections, calls in set-up, calls that stand,
+    /// answers remembered, timers.
+    pub fn held(&self) -> [usize; 6] {
+        let in_set_up = self.engine.calls_in_set_up();
+        let stand = self.calls.values().filter(|caller| caller.stands).count();
+        [
+            self.links.len(),
+            self.servers.open(),
+            in_set_up,
+            stand,
+            self.engine.remembered(),
+            self.engine.timers(),
+        ]
+    }
+
+    /// Looks at all that should have happened by now.
+    fn look(&mut self, out: &mut Vec<Output>) {
+        if let Some(query) = self.names.ask(self.now) {
+            out.push(Output::Ask(query));
+        }
+        if self.now < self.looked_at + LOOK && self.looked_at > 0 {
+            return;
+        }
+        self.looked_at = self.now;
+        self.look_at_servers(out);
+        self.look_at_callers(out);
+        let Some(since) = self.stopped_at.map(|at| self.now.saturating_sub(at)) else { return };
+        if since >= HAND_OVER && !self.deaf {
+            self.deaf = true;
+            out.push(Output::Deaf);
+        }
+        if since >= LAST_ANSWER {
+            self.engine(Moment::Stop, out);
+        }
+        if self.deaf && self.engine.calls_in_set_up() == 0 {
+            out.push(Output::End);
+        }
+    }
+
+    /// The list has changed, or is told for the first time.
+    fn told_list(&mut self, out: &mut Vec<Output>) {
+        let lines: Vec<_> = self.fleet.lines().cloned().collect();
+        // The engine takes links as up: whether a server can be reached is told by each attempt's own end, as
+        // the simulator does. A broken connection is not a drained server.
+        for server in self.servers.listed(self.now, &lines) {
+            let state = baydrift_call::LinkState::Up(baydrift_call::Process::Same);
+            self.engine(Moment::ServerLink { server, state }, out);
+        }
+        self.engine(Moment::List(ListKind::Full, self.fleet.entries()), out);
+        self.look_at_servers(out);
+        // A process that has started anew has forgotten the calls of the one before.
+        for (server, at) in self.servers.take_restarted() {
+            self.lose(server, at, out);
+        }
+    }
+
+    /// Hands the engine a moment and carries out what it orders.
+    fn engine(&mut self, moment: Moment<Payload>, out: &mut Vec<Output>) {
+        let mut orders = Vec::new();
+        self.engine.hear(self.now, moment, &mut orders);
+        self.carry_out(orders, out);
+    }
+
+    fn carry_out(&mut self, orders: Vec<Order<Payload>>, out: &mut Vec<Output>) {
+        for order in orders {
+            match order {
+                Order::SetUp { attempt, server, session, payload, timeout, .. } => {
+                    if let Some(call) = id_of(&session) {
+                        self.set_up(attempt, server, call, payload, timeout, out);
+                    }
+                }
+                Order::Release { attempt, .. } => self.release(attempt, out),
+                Order::Answer { session, answer, .. } => {
+                    if let Some(call) = id_of(&session) {
+                        self.answered(call, answer, out);
+                    }
+                }
+                Order::Over { session, outcome } => {
+                    if let Some(call) = id_of(&session) {
+                        self.call_over(call, outcome, out);
+                    }
+                }
+                Order::Adopted { attempt, server, session } => {
+                    if let Some(call) = id_of(&session) {
+                        let at = self.now;
+                        let flight = Flight { server, call, conn: None, stands: true, at, unsent: None };
+                        self.servers.stands(at, server, call, attempt);
+                        self.flights.insert(attempt, flight);
+                    }
+                }
+                Order::Tell { to, payload } => out.push(Output::ToPeer(to, payload)),
+                Order::Log(text) => tracing::info!("{text}"),
+                // The list is polled, callers are told by their calls, and a name is never asked for twice.
+                Order::Watch | Order::Cut { .. } | Order::AnswerRelease { .. } | Order::Dropped(_) => {}
+            }
+        }
+    }
+
+    fn session(&self, call: Id) -> Session {
+        Session { owner: self.owner.clone(), id: Arc::from(call.to_string()) }
+    }
+
+    /// The final answer on its way to the caller.
+    fn answered(&mut self, call: Id, answer: Final, out: &mut Vec<Output>) {
+        match (answer, self.answer.take()) {
+            (Final::Stands, Some(description)) => self.tell_stands(call, description, out),
+            (Final::Stands, None) => self.tell_refused(call, false, out),
+            (Final::Refused { .. }, _) => self.tell_refused(call, true, out),
+            (Final::Failed, _) => self.tell_refused(call, false, out),
+        }
+    }
+}
+
+/// The wire's id of a call that the engine names.
+fn id_of(session: &Session) -> Option<Id> {
+    u64::from_str_radix(&session.id, 16).ok().map(|id| Id(id.to_be_bytes()))
+}
--- /dev/null
+++ b/crates/node/src/state/servers.rs
@@ -0,0 +1,585 @@
+//! The signalling servers: connections to each, attempts on them, and who is taken for dead.
+//!
+//! What a server says is matched to the attempt: by the connection of its set-up until the call stands, by the
+//! server afterwards. A call comes to no connection a second time, so that a late word on an attempt that was
+//! given up is never taken for one on the next.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+use baydrift::interface::{Micros, Note, Outcome, Report, ServerId, ServerState};
+use baydrift_call::{AttemptEnd, AttemptId, Input as Moment};
+use baydrift_platform::list::server_id;
+use baydrift_platform::{report, Cause, Code, Fault, Id, Kind, Line, Message};
+
+use super::{Flight, Node, Output, Payload, Unsent};
+use crate::config::Config;
+
+/// Connections to a ready server at the least: one may break while the other serves.
+const CONNS_LEAST: usize = 2;
+/// And at the most: set-ups are spread, so that one answer that cannot be read spoils few.
+const CONNS_MOST: usize = 16;
+/// Descriptors for all that is no connection: listener, datagrams, signals, log, configuration.
+const OTHERS: usize = 24;
+/// A connection that has said nothing for so long is tested ...
+const TEST_AFTER: Micros = 1_000_000;
+/// ... and taken for dead when the test is unanswered for so long.
+const TEST_WITHIN: Micros = 1_000_000;
+/// The rest of a message must come within this: a message is small, and what waits behind it waits for nothing.
+const PART_WITHIN: Micros = 500_000;
+/// Pause after a failed dial; it doubles up to the second.
+const REDIAL: (Micros, Micros) = (100_000, 1_000_000);
+/// A server that cannot be reached for so long has lost its calls: their callers are owed word within 8 s.
+const LOST_AFTER: Micros = 3_500_000;
+/// A connection remembers calls that are over on it for so long, and so many.
+const PAST: (usize, Micros) = (512, 20_000_000);
+/// Releases that wait for a connection to their server.
+const OWED_MAX: usize = 1_000;
+
+/// One connection to a signalling server. Never used twice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnId(pub u64);
+
+/// How many connections there may be.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Bounds {
+    all: usize,
+}
+
+impl Bounds {
+    /// Three eighths of the descriptors, since callers hold a third.
+    pub(super) fn of(config: &Config) -> Self {
+        Self { all: (config.sockets * 3 / 8).min(8 * CONNS_MOST) }
+    }
+
+    /// Descriptors that callers may not have.
+    pub(super) fn kept_back(self) -> usize {
+        self.all + OTHERS
+    }
+}
+
+#[derive(Debug)]
+struct Conn {
+    server: ServerId,
+    up: bool,
+    /// Set-ups without their answer.
+    open: BTreeMap<Id, AttemptId>,
+    past: VecDeque<(Micros, Id)>,
+    heard_at: Micros,
+    tested_at: Option<Micros>,
+    part_since: Option<Micros>,
+}
+
+impl Conn {
+    fn is_over(&self, call: Id) -> bool {
+        self.past.iter().any(|(_, past)| *past == call)
+    }
+
+    fn put_past(&mut self, now: Micros, call: Id) {
+        while self.past.len() >= PAST.0 || self.past.front().is_some_and(|(at, _)| now >= at + PAST.1) {
+            self.past.pop_front();
+        }
+        self.past.push_back((now, call));
+    }
+}
+
+#[derive(Debug, Default)]
+struct Server {
+    address: Option<SocketAddr>,
+    /// `None`: it is on the list no longer.
+    listed: Option<ServerState>,
+    started_at: Option<Micros>,
+    conns: BTreeSet<ConnId>,
+    /// Calls that stand there.
+    standing: BTreeMap<Id, AttemptId>,
+    /// Set-ups that wait for a connection.
+    waiting: VecDeque<AttemptId>,
+    /// Releases that wait for one.
+    owed: VecDeque<Id>,
+    failures: u32,
+    dial_at: Micros,
+    /// Since when no connection is up.
+    down_since: Option<Micros>,
+}
+
+/// All signalling servers.
+#[derive(Debug)]
+pub(super) struct Servers {
+    known: BTreeMap<ServerId, Server>,
+    conns: BTreeMap<ConnId, Conn>,
+    next_conn: u64,
+    bounds: Bounds,
+    restarted: Vec<(ServerId, Micros)>,
+}
+
+impl Servers {
+    pub(super) fn new(bounds: Bounds) -> Self {
+        Self { known: BTreeMap::new(), conns: BTreeMap::new(), next_conn: 1, bounds, restarted: Vec::new() }
+    }
+
+    pub(super) fn open(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// Takes the list; the servers that are new on it.
+    pub(super) fn listed(&mut self, now: Micros, lines: &[Line]) -> Vec<ServerId> {
+        let mut fresh = Vec::new();
+        for server in self.known.values_mut() {
+            server.listed = None;
+        }
+        for line in lines {
+            let id = server_id(&line.name);
+            let server = self.known.entry(id).or_insert_with(|| {
+                fresh.push(id);
+                Server { started_at: line.started_at, down_since: Some(now), ..Server::default() }
+            });
+            if let Some(at) = line.started_at.filter(|_| server.started_at != line.started_at) {
+                self.restarted.push((id, at));
+            }
+            (server.started_at, server.listed) = (line.started_at, Some(line.state));
+            if server.address != Some(line.address) {
+                (server.address, server.dial_at) = (Some(line.address), now);
+            }
+        }
+        fresh
+    }
+
+    /// Servers whose process the list showed to be another than before, and since when.
+    pub(super) fn take_restarted(&mut self) -> Vec<(ServerId, Micros)> {
+        std::mem::take(&mut self.restarted)
+    }
+
+    /// A call stands at a server, which need not be on the list.
+    pub(super) fn stands(&mut self, now: Micros, server: ServerId, call: Id, attempt: AttemptId) {
+        let fresh = || Server { down_since: Some(now), ..Server::default() };
+        self.known.entry(server).or_insert_with(fresh).standing.insert(call, attempt);
+    }
+
+    /// Part of a message has come.
+    pub(super) fn part(&mut self, conn: ConnId, now: Micros) {
+        if let Some(conn) = self.conns.get_mut(&conn) {
+            conn.part_since.get_or_insert(now);
+        }
+    }
+
+    fn up(&self, server: ServerId) -> impl Iterator<Item = (ConnId, &Conn)> {
+        let ids = self.known.get(&server).into_iter().flat_map(|server| &server.conns);
+        ids.filter_map(|id| Some((*id, self.conns.get(id)?))).filter(|(_, conn)| conn.up)
+    }
+
+    /// The connection for a set-up: the one with the fewest open, and never one that the call was on already.
+    fn choose(&self, server: ServerId, call: Id) -> Option<ConnId> {
+        let free = self.up(server).filter(|(_, conn)| !conn.is_over(call) && !conn.open.contains_key(&call));
+        free.min_by_key(|(id, conn)| (conn.open.len(), *id)).map(|(id, _)| id)
+    }
+
+    fn any_up(&self, server: ServerId) -> Option<ConnId> {
+        self.up(server).next().map(|(id, _)| id)
+    }
+
+    /// How many connections a server should have now.
+    fn wanted(&self, server: &Server) -> usize {
+        let open = server.conns.iter().filter_map(|id| self.conns.get(id)).map(|conn| conn.open.len());
+        let busy = open.sum::<usize>() + server.waiting.len();
+        match server.listed {
+            Some(ServerState::Ready) => {
+                let share = self.bounds.all / self.known.len().max(1);
+                (busy + 1).clamp(CONNS_LEAST, CONNS_MOST.min(share).max(CONNS_LEAST))
+            }
+            // What stands or is owed there is told on any connection, or on the next.
+            _ => usize::from(busy > 0 || !server.standing.is_empty() || !server.owed.is_empty()),
+        }
+    }
+
+    /// Dials what is missing; with `at_once` the pause after a failure is cut short, for a set-up that waits.
+    fn dial(&mut self, now: Micros, id: ServerId, at_once: bool, out: &mut Vec<Output>) {
+        let Some(server) = self.known.get(&id) else { return };
+        let dialling = server.conns.iter().any(|conn| self.conns.get(conn).is_some_and(|conn| !conn.up));
+        let due = now >= server.dial_at || at_once && !dialling;
+        let room = self.conns.len() < self.bounds.all || server.conns.is_empty();
+        let wanted = if server.failures > 0 { 1 } else { self.wanted(server) };
+        let missing = wanted.saturating_sub(server.conns.len()).min(2);
+        let Some(address) = server.address.filter(|_| due && room) else { return };
+        for _ in 0..missing {
+            let conn = ConnId(self.next_conn);
+            self.next_conn += 1;
+            let fresh = Conn {
+                server: id,
+                up: false,
+                open: BTreeMap::new(),
+                past: VecDeque::new(),
+                heard_at: now,
+                tested_at: None,
+                part_since: None,
+            };
+            self.conns.insert(conn, fresh);
+            if let Some(server) = self.known.get_mut(&id) {
+                server.conns.insert(conn);
+            }
+            out.push(Output::Dial(conn, address));
+        }
+    }
+
+    /// Forgets a connection.
+    fn remove(&mut self, now: Micros, id: ConnId) -> Option<Conn> {
+        let conn = self.conns.remove(&id)?;
+        let none_up = self.any_up(conn.server).is_none();
+        if let Some(server) = self.known.get_mut(&conn.server) {
+            server.conns.remove(&id);
+            if none_up {
+                server.down_since.get_or_insert(now);
+            }
+        }
+        Some(conn)
+    }
+}
+
+impl Node {
+    /// The engine sets a call up: on a connection that is up, or on the next one within the dial's time.
+    pub(super) fn set_up(
+        &mut self,
+        attempt: AttemptId,
+        server: ServerId,
+        call: Id,
+        payload: Payload,
+        timeout: Micros,
+        out: &mut Vec<Output>,
+    ) {
+        let unsent = Unsent { payload, since: self.now, until: self.now + timeout };
+        let flight = Flight { server, call, conn: None, stands: false, at: self.now, unsent: Some(unsent) };
+        self.flights.insert(attempt, flight);
+        match self.servers.choose(server, call) {
+            Some(conn) => self.write_set_up(attempt, conn, out),
+            None => {
+                if let Some(server) = self.servers.known.get_mut(&server) {
+                    server.waiting.push_back(attempt);
+                }
+            }
+        }
+        self.servers.dial(self.now, server, true, out);
+    }
+
+    fn write_set_up(&mut self, attempt: AttemptId, conn: ConnId, out: &mut Vec<Output>) {
+        let Some(flight) = self.flights.get_mut(&attempt) else { return };
+        let Some(Unsent { payload, until, .. }) = flight.unsent.take() else { return };
+        let left_ms = until.saturating_sub(self.now).max(1_000) / 1_000;
+        let mut message = Message::new(Kind::SetUp, flight.call)
+            .with(Code::CLASS, payload.class)
+            .with(Code::WAIT, left_ms.to_string());
+        if let Some(number) = payload.number {
+            message = message.with(Code::NUMBER, number);
+        }
+        message = message.with(Code::DESCRIPTION, payload.description);
+        let mut bytes = Vec::new();
+        if let Err(fault) = message.write(&mut bytes) {
+            tracing::warn!("set-up {}: {fault}", flight.call);
+            return self.end(attempt, Outcome::Moot, Note::None, Report::default(), out);
+        }
+        flight.conn = Some(conn);
+        flight.at = self.now;
+        if let Some(conn) = self.servers.conns.get_mut(&conn) {
+            conn.open.insert(flight.call, attempt);
+        }
+        out.push(Output::ToServer(conn, bytes));
+    }
+
+    /// An attempt is given up, or a call that stands is released.
+    pub(super) fn release(&mut self, attempt: AttemptId, out: &mut Vec<Output>) {
+        let Some(flight) = self.flights.remove(&attempt) else { return };
+        let Flight { server, call, conn, stands, unsent, .. } = flight;
+        let home = conn.filter(|conn| self.servers.conns.get(conn).is_some_and(|conn| conn.up));
+        if unsent.is_some() {
+            if let Some(server) = self.servers.known.get_mut(&server) {
+                server.waiting.retain(|other| *other != attempt);
+            }
+            return;
+        }
+        if !stands {
+            // Without its connection the set-up has ended with that.
+            let Some(conn) = home else { return };
+            if let Some(conn) = self.servers.conns.get_mut(&conn) {
+                conn.open.remove(&call);
+                conn.put_past(self.now, call);
+            }
+            return write(out, conn, &Message::release(call, Cause::NORMAL));
+        }
+        let any = home.or_else(|| self.servers.any_up(server));
+        let Some(known) = self.servers.known.get_mut(&server) else { return };
+        known.standing.remove(&call);
+        match any {
+            Some(conn) => write(out, conn, &Message::release(call, Cause::NORMAL)),
+            None => {
+                if known.owed.len() >= OWED_MAX {
+                    known.owed.pop_front();
+                }
+                known.owed.push_back(call);
+            }
+        }
+    }
+
+    /// An attempt has ended without standing.
+    fn end(
+        &mut self,
+        attempt: AttemptId,
+        outcome: Outcome,
+        note: Note,
+        report: Report,
+        out: &mut Vec<Output>,
+    ) {
+        // Forgotten first: nothing is left at the server that a release would end.
+        self.flights.remove(&attempt);
+        self.engine(Moment::Ended { attempt, end: AttemptEnd { outcome, note, report } }, out);
+    }
+
+    pub(super) fn server_up(&mut self, id: ConnId, out: &mut Vec<Output>) {
+        let now = self.now;
+        let Some(conn) = self.servers.conns.get_mut(&id) else { return out.push(Output::CloseServer(id)) };
+        (conn.up, conn.heard_at) = (true, now);
+        let of = conn.server;
+        let Some(server) = self.servers.known.get_mut(&of) else { return };
+        (server.failures, server.down_since) = (0, None);
+        let (waiting, owed) = (std::mem::take(&mut server.waiting), std::mem::take(&mut server.owed));
+        let ready = server.listed == Some(ServerState::Ready);
+        for call in owed {
+            write(out, id, &Message::release(call, Cause::NORMAL));
+        }
+        for attempt in waiting {
+            // Checked again at the moment of writing: the server's drain may have been told meanwhile.
+            if ready {
+                self.write_set_up(attempt, id, out);
+            } else {
+                self.end(attempt, Outcome::Moot, Note::None, Report::default(), out);
+            }
+        }
+    }
+
+    pub(super) fn dial_failed(&mut self, id: ConnId, refused: bool, out: &mut Vec<Output>) {
+        let now = self.now;
+        let Some(conn) = self.servers.remove(now, id) else { return };
+        let up = self.servers.any_up(conn.server).is_some();
+        let Some(server) = self.servers.known.get_mut(&conn.server) else { return };
+        server.dial_at = now + (REDIAL.0 << server.failures.min(8)).min(REDIAL.1);
+        server.failures += 1;
+        if up {
+            return;
+        }
+        for attempt in std::mem::take(&mut server.waiting) {
+            self.end(attempt, Outcome::ConnectFailed, Note::None, Report::default(), out);
+        }
+        // Nothing runs where a connection is refused: the process is gone, with all its calls.
+        if refused {
+            self.lose(conn.server, Micros::MAX, out);
+        }
+    }
+
+    /// A server's calls from before a time are gone with their process.
+    pub(super) fn lose(&mut self, server: ServerId, before: Micros, out: &mut Vec<Output>) {
+        let here = |flight: &Flight| flight.server == server && flight.unsent.is_none() && flight.at < before;
+        let gone: Vec<_> =
+            self.flights.iter().filter(|(_, f)| here(f)).map(|(id, f)| (*id, f.clone())).collect();
+        self.counts.lost += u64::from(!gone.is_empty());
+        for (attempt, flight) in gone {
+            self.flights.remove(&attempt);
+            if let Some(conn) = flight.conn.and_then(|conn| self.servers.conns.get_mut(&conn)) {
+                conn.open.remove(&flight.call);
+            }
+            if let Some(known) = self.servers.known.get_mut(&server) {
+                known.standing.remove(&flight.call);
+            }
+            self.engine(Moment::Cut { attempt, report: Report::default() }, out);
+        }
+    }
+
+    /// A connection that was up has ended: what is open on it may have run. Calls that stand are not touched.
+    pub(super) fn server_down(&mut self, id: ConnId, out: &mut Vec<Output>) {
+        let Some(conn) = self.servers.remove(self.now, id) else { return };
+        self.counts.broken += u64::from(!conn.open.is_empty());
+        // Dialled before what was open is placed again, so that it finds a connection.
+        self.servers.dial(self.now, conn.server, false, out);
+        for attempt in conn.open.into_values() {
+            self.end(attempt, Outcome::Reset, Note::None, Report::default(), out);
+        }
+    }
+
+    fn broken(&mut self, id: ConnId, why: &Fault, out: &mut Vec<Output>) {
+        tracing::debug!("a signalling server's connection is closed: {why}");
+        out.push(Output::CloseServer(id));
+        self.server_down(id, out);
+    }
+
+    pub(super) fn from_server(&mut self, id: ConnId, message: &Message, out: &mut Vec<Output>) {
+        let Some(conn) = self.servers.conns.get_mut(&id) else { return };
+        (conn.heard_at, conn.tested_at, conn.part_since) = (self.now, None, None);
+        let server = conn.server;
+        let done = match message.kind {
+            Kind::State => self.report_of(message).map(|report| {
+                self.engine(Moment::News { server, report }, out);
+            }),
+            Kind::Answer => self.stands(id, message, out),
+            Kind::Release => self.ended(id, server, message, out),
+            Kind::Test => {
+                let tested = Message::new(Kind::Tested, message.call).with(Code::CAUSE, vec![Cause::PASSED]);
+                write(out, id, &tested);
+                Ok(())
+            }
+            Kind::Progress | Kind::Heard | Kind::Tested => Ok(()),
+            Kind::SetUp => Err(Fault::Kind(1)),
+        };
+        if let Err(fault) = done {
+            self.broken(id, &fault, out);
+        }
+    }
+
+    fn report_of(&self, message: &Message) -> Result<Report, Fault> {
+        let text = message.text(Code::REPORT)?;
+        Ok(text.map(|text| report::read(text, &self.wording.fields)).unwrap_or_default())
+    }
+
+    /// FIRST: a call stands. Only on the connection of its set-up; a second copy, or an answer to what nobody
+    /// asked, means nothing.
+    fn stands(&mut self, id: ConnId, message: &Message, out: &mut Vec<Output>) -> Result<(), Fault> {
+        let call = message.call;
+        let conn = self.servers.conns.get_mut(&id);
+        let Some((conn, attempt)) = conn.and_then(|conn| conn.open.get(&call).copied().map(|a| (conn, a)))
+        else {
+            return Ok(());
+        };
+        let description = message.must(Code::DESCRIPTION)?.clone();
+        conn.open.remove(&call);
+        let server = conn.server;
+        let report = self.report_of(message)?;
+        if let Some(flight) = self.flights.get_mut(&attempt) {
+            flight.stands = true;
+        }
+        self.servers.stands(self.now, server, call, attempt);
+        self.answer = Some(description);
+        self.engine(Moment::Stands { attempt, report }, out);
+        self.answer = None;
+        Ok(())
+    }
+
+    /// A release by a signalling server: a set-up's end, or that of a call that stands.
+    fn ended(
+        &mut self,
+        id: ConnId,
+        server: ServerId,
+        message: &Message,
+        out: &mut Vec<Output>,
+    ) -> Result<(), Fault> {
+        let (call, cause, report) = (message.call, message.cause()?, self.report_of(message)?);
+        let Some(conn) = self.servers.conns.get_mut(&id) else { return Ok(()) };
+        if let Some(attempt) = conn.open.remove(&call) {
+            conn.put_past(self.now, call);
+            let outcome = match cause {
+                Cause::NO_CIRCUIT => Outcome::Full,
+                Cause::BUSY | Cause::RESOURCE => Outcome::Error,
+                Cause::TIMER => Outcome::Moot,
+                _ => Outcome::Reset,
+            };
+            let note = message.text(Code::NOTE)?.map_or(Note::None, note);
+            self.end(attempt, outcome, note, report, out);
+        } else {
+            let was_here = conn.is_over(call);
+            let Some(known) = self.servers.known.get(&server) else { return Ok(()) };
+            let Some(attempt) = known.standing.get(&call).copied() else { return Ok(()) };
+            // A late word on an attempt that was given up here; one on the call would come by its own connection.
+            let home = self.flights.get(&attempt).and_then(|flight| flight.conn);
+            if was_here && home.is_some_and(|home| self.servers.conns.contains_key(&home)) {
+                return Ok(());
+            }
+            self.flights.remove(&attempt);
+            if let Some(known) = self.servers.known.get_mut(&server) {
+                known.standing.remove(&call);
+            }
+            let moment = match cause {
+                Cause::NORMAL => Moment::Over { attempt, report },
+                _ => Moment::Cut { attempt, report },
+            };
+            self.engine(moment, out);
+        }
+        Ok(())
+    }
+
+    pub(super) fn look_at_servers(&mut self, out: &mut Vec<Output>) {
+        let now = self.now;
+        for id in self.servers.known.keys().copied().collect::<Vec<_>>() {
+            self.look_at_server(id, out);
+        }
+        let mut broken = Vec::new();
+        for (id, conn) in self.servers.conns.iter_mut().filter(|(_, conn)| conn.up) {
+            let stuck = conn.part_since.is_some_and(|at| now >= at + PART_WITHIN);
+            let silent = conn.tested_at.is_some_and(|at| now >= at + TEST_WITHIN);
+            if stuck || silent {
+                broken.push((*id, if stuck { "half a message" } else { "a test unanswered" }));
+            } else if conn.tested_at.is_none() && now >= conn.heard_at + TEST_AFTER {
+                conn.tested_at = Some(now);
+                let test = Message::new(Kind::Test, Id::default()).with(Code::CAUSE, vec![0]);
+                write(out, *id, &test);
+            }
+        }
+        for (id, why) in broken {
+            self.broken(id, &Fault::Names(why), out);
+        }
+    }
+
+    fn look_at_server(&mut self, id: ServerId, out: &mut Vec<Output>) {
+        let (now, dial_timeout) = (self.now, self.dial_timeout);
+        let Some(server) = self.servers.known.get_mut(&id) else { return };
+        let late: Vec<_> = server
+            .waiting
+            .iter()
+            .filter(|attempt| {
+                let unsent = self.flights.get(attempt).and_then(|flight| flight.unsent.as_ref());
+                unsent.is_none_or(|unsent| now >= unsent.since + dial_timeout)
+            })
+            .copied()
+            .collect();
+        server.waiting.retain(|attempt| !late.contains(attempt));
+        let down = server.down_since.is_some_and(|at| now >= at + LOST_AFTER);
+        let idle = server.listed.is_none() && server.standing.is_empty() && server.waiting.is_empty();
+        let conns: Vec<_> = server.conns.iter().copied().collect();
+        for attempt in late {
+            self.end(attempt, Outcome::ConnectFailed, Note::None, Report::default(), out);
+        }
+        if down {
+            // Cut off, or gone without a word. Should it come back, it is told what it may hold still.
+            let standing =
+                self.servers.known.get(&id).map(|server| server.standing.keys().copied().collect());
+            let standing: Vec<Id> = standing.unwrap_or_default();
+            self.lose(id, Micros::MAX, out);
+            if let Some(server) = self.servers.known.get_mut(&id) {
+                server.owed.extend(standing.into_iter().take(OWED_MAX.saturating_sub(server.owed.len())));
+            }
+        }
+        let open = |conn: &ConnId| self.servers.conns.get(conn).is_some_and(|conn| !conn.open.is_empty());
+        if idle && !conns.iter().any(open) {
+            for conn in conns {
+                out.push(Output::CloseServer(conn));
+                self.servers.remove(now, conn);
+            }
+            self.servers.known.remove(&id);
+            return;
+        }
+        self.servers.dial(now, id, false, out);
+    }
+}
+
+/// A server's further word on a refusal.
+fn note(text: &str) -> Note {
+    let wait_ms = text.split_once(':').and_then(|(_, ms)| ms.trim().parse::<u32>().ok()).unwrap_or(0);
+    match text.split(':').next().unwrap_or_default().trim() {
+        "atb" => Note::NoLine,
+        "acc" => Note::ProcessorFull(u64::from(wait_ms) * 1_000),
+        "racc" => Note::ProcessorFull(0),
+        "sub" => Note::NumberBusy,
+        _ => Note::None,
+    }
+}
+
+fn write(out: &mut Vec<Output>, conn: ConnId, message: &Message) {
+    let mut bytes = Vec::new();
+    match message.write(&mut bytes) {
+        Ok(()) => out.push(Output::ToServer(conn, bytes)),
+        Err(fault) => tracing::warn!("not written: {fault}"),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/fault.rs
@@ -0,0 +1,40 @@
+//! What was wrong with a message or a list.
+
+/// Why something could not be read.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// A message's length is out of its bounds.
+    #[error("a message claims {0} bytes; {least} to {most} are allowed", least = crate::message::HEAD, most = crate::message::MOST)]
+    Length(usize),
+    /// No message has this type.
+    #[error("unknown message type {0}")]
+    Kind(u8),
+    /// A parameter runs past its message.
+    #[error("parameter {code} at byte {at} runs past its message")]
+    Overrun {
+        /// Its code.
+        code: u8,
+        /// Where it begins.
+        at: usize,
+    },
+    /// A parameter that may be there once is there twice.
+    #[error("parameter {0} is given twice")]
+    Twice(u8),
+    /// A parameter is missing.
+    #[error("parameter {0} is missing")]
+    Missing(u8),
+    /// A parameter's value is of no use.
+    #[error("parameter {code}: {what}")]
+    Value {
+        /// Its code.
+        code: u8,
+        /// What is wrong.
+        what: &'static str,
+    },
+    /// The list's text cannot be read.
+    #[error("the list: {0}")]
+    List(String),
+    /// A name server's answer cannot be used.
+    #[error("the name server's answer: {0}")]
+    Names(&'static str),
+}
--- /dev/null
+++ b/crates/platform/src/report.rs
@@ -0,0 +1,17 @@
+//! Load reports as text, by the names that the settings give.
+
+use baydrift::config::Field;
+use baydrift::interface::Report;
+
+/// Reads a report such as `idle:12;circuits:40`. What is unknown, is no number or says 'not told' is passed over.
+pub fn read(text: &str, fields: &[(String, Field)]) -> Report {
+    let mut report = Report::default();
+    for part in text.split(';') {
+        let Some((name, value)) = part.split_once(':') else { continue };
+        let field = fields.iter().find(|(own, _)| own == name.trim()).map(|(_, field)| *field);
+        if let (Some(field), Ok(value)) = (field, value.trim().parse::<f64>()) {
+            field.put(value, &mut report);
+        }
+    }
+    report
+}
--- /dev/null
+++ b/crates/platform/src/setup.rs
@@ -0,0 +1,101 @@
+//! What a caller offers, read from a set-up.
+
+use bytes::Bytes;
+
+use baydrift::interface::Micros;
+
+use crate::{Code, Fault, Message};
+
+/// A set-up's own figures, checked against nothing but their form and the bounds given.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SetUp {
+    /// The class's name.
+    pub class: String,
+    /// The tenant's name, where one is named.
+    pub tenant: Option<String>,
+    /// The number called as it came, and as a number; 0 for none.
+    pub number: (Option<Bytes>, u64),
+    /// How long the caller waits.
+    pub wait: Micros,
+    /// The destination's number.
+    pub dest: Option<u16>,
+    /// Circuits that the call takes.
+    pub width: f64,
+    /// It stood, was cut and comes again.
+    pub was_cut: bool,
+    /// Dialled again, where callers mark that.
+    pub redial: bool,
+    /// It stands at this signalling server already.
+    pub at: Option<String>,
+    /// What the signalling server is to get.
+    pub description: Bytes,
+}
+
+/// A number within its bounds, from text.
+fn figure(code: u8, text: &str, least: f64, most: f64) -> Result<f64, Fault> {
+    let value: f64 = text.trim().parse().map_err(|_| Fault::Value { code, what: "no number" })?;
+    if value.is_finite() && (least..=most).contains(&value) {
+        Ok(value)
+    } else {
+        Err(Fault::Value { code, what: "out of range" })
+    }
+}
+
+impl SetUp {
+    /// Reads a set-up; one that stands already (`at`) needs neither time nor description.
+    ///
+    /// # Errors
+    /// Names the first parameter that is missing, twice there, or of no use.
+    pub fn read(message: &Message, longest_wait: Micros) -> Result<Self, Fault> {
+        let mut offer = Self {
+            class: message.text(Code::CLASS)?.ok_or(Fault::Missing(Code::CLASS))?.to_owned(),
+            tenant: message.text(Code::TENANT)?.map(str::to_owned),
+            number: (message.one(Code::NUMBER)?.cloned(), 0),
+            wait: 0,
+            dest: None,
+            width: 1.0,
+            was_cut: false,
+            redial: false,
+            at: None,
+            description: message.one(Code::DESCRIPTION)?.cloned().unwrap_or_default(),
+        };
+        if let Some(text) = message.text(Code::NUMBER)?.filter(|text| !text.is_empty()) {
+            let wrong = Fault::Value { code: Code::NUMBER, what: "no number called" };
+            let digits = text.len() <= 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+            offer.number.1 = u64::from_str_radix(text, 16).ok().filter(|_| digits).ok_or(wrong)?;
+        }
+        if let Some(text) = message.text(Code::FIGURES)? {
+            text.split(';').filter(|part| !part.is_empty()).try_for_each(|part| offer.figure(part))?;
+        }
+        if offer.at.is_some() {
+            return Ok(offer);
+        }
+        let wait = message.text(Code::WAIT)?.ok_or(Fault::Missing(Code::WAIT))?;
+        offer.wait = (figure(Code::WAIT, wait, 1.0, longest_wait as f64 / 1e3)? * 1e3) as Micros;
+        message.must(Code::DESCRIPTION)?;
+        Ok(offer)
+    }
+
+    /// One of the further figures. Names that are unknown are passed over.
+    fn figure(&mut self, part: &str) -> Result<(), Fault> {
+        let code = Code::FIGURES;
+        let (name, value) =
+            part.split_once(':').ok_or(Fault::Value { code, what: "a figure without value" })?;
+        match name.trim() {
+            "dest" => self.dest = index(figure(code, value, -1.0, f64::from(u16::MAX))?),
+            "width" => self.width = figure(code, value, 0.0, f64::from(u16::MAX))?,
+            "via" => {
+                figure(code, value, -1.0, f64::from(u16::MAX))?;
+            }
+            "again" => self.was_cut = figure(code, value, 0.0, 1.0)? > 0.0,
+            "retry" => self.redial = figure(code, value, 0.0, 1.0)? > 0.0,
+            "at" => self.at = Some(value.trim().to_owned()).filter(|at| !at.is_empty()),
+            _ => {}
+        }
+        Ok(())
+    }
+}
+
+fn index(value: f64) -> Option<u16> {
+    (value >= 0.0).then_some(value as u16)
+}
--- a/src/bin/baydrift-wirehost/host.rs
+++ b/src/bin/baydrift-wirehost/host.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
+use baydrift::config::{self, Field, Wording};
 use baydrift::interface::{Action, Call, Entry, Event, ListKind, Note, Outcome, Report, ServerState};
 use baydrift::Controller;
 
-use crate::config::{self, Field, Wording};
 use crate::wire::{put_server, Fields, Header, WireError};
 
 /// One front's controller and its site's wording.
@@ -47,24 +47,12 @@
     }
 }
 
-fn report(fields: &mut Fields, order: &[Field]) -> Result<Report, WireError> {
+fn report(fields: &mut Fields, order: &[(String, Field)]) -> Result<Report, WireError> {
     let n = fields.u8("report size")?;
     let mut report = Report::default();
     for i in 0..usize::from(n) {
         let raw = f64::from(fields.f32("report value")?);
-        // Not told is -1 on the wire; other negative or non-finite values say nothing either.
-        let value = Some(raw).filter(|v| v.is_finite() && *v >= 0.0);
-        match order.get(i).copied().unwrap_or(Field::Unknown) {
-            Field::Free => report.free = value,
-            Field::Lines => report.lines = value,
-            Field::InWork => report.in_work = value,
-            Field::Queue => report.queue = value,
-            Field::Busy => report.busy = value,
-            Field::WaitMs => report.wait_s = value.map(|v| v / 1000.0),
-            Field::Rate => report.rate = value,
-            Field::HoldBack => report.hold_back = value,
-            Field::Unknown => {}
-        }
+        order.get(i).map_or(Field::Unknown, |(_, field)| *field).put(raw, &mut report);
     }
     Ok(report)
 }
@@ -200,7 +188,7 @@
         let seed = fields.u64("rng-seed")?;
         let size = fields.u32("config size")? as usize;
         let text = fields.take(size, "config")?;
-        let (settings, wording) = config::read(text).map_err(|e| fields.error(e))?;
+        let (settings, wording) = config::read(text).map_err(|e| fields.error(e.to_string()))?;
         let controller = Controller::new(settings, seed).map_err(|e| fields.error(e.to_string()))?;
         self.instances.insert(front, Instance { controller, wording });
         Ok(())
--- a/src/bin/baydrift-wirehost/main.rs
+++ b/src/bin/baydrift-wirehost/main.rs
@@ -4,7 +4,6 @@
 
 #![forbid(unsafe_code)]
 
-mod config;
 mod host;
 mod wire;
 
--- a/src/bin/baydrift-wirehost/config.rs
+++ b/src/config.rs
@@ -1,25 +1,70 @@
-//! The settings text: JSON into the library's settings. Unknown keys are passed over.
+//! The settings text: JSON into the library's settings. Unknown keys are passed over. The one reader for the
+//! bench's adapter and the front node.
 
-use baydrift::interface::{Class, Repeat, ReportPath, Settings, Tenant};
+use crate::interface::{Class, Micros, Repeat, Report, ReportPath, Settings, Tenant};
 use serde::Deserialize;
 
 /// A value of a load report, by its place in the report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Field {
+    /// Free lines towards the server.
     Free,
+    /// Lines in all.
     Lines,
+    /// Set-ups in work.
     InWork,
+    /// Set-ups waiting.
     Queue,
+    /// How busy the processor is.
     Busy,
+    /// Wait at the processor, in milliseconds.
     WaitMs,
+    /// Set-ups a second that it can take.
     Rate,
+    /// Share to hold back.
     HoldBack,
+    /// Not known here.
     Unknown,
 }
 
+impl Field {
+    /// The field of this name in the settings.
+    fn named(name: &str) -> Self {
+        match name {
+            "idle" => Self::Free,
+            "circuits" => Self::Lines,
+            "rif" => Self::InWork,
+            "q" => Self::Queue,
+            "busy" => Self::Busy,
+            "lat_ms" => Self::WaitMs,
+            "max_rate" => Self::Rate,
+            "reduce" => Self::HoldBack,
+            _ => Self::Unknown,
+        }
+    }
+
+    /// Sets the field in a report. Not told is -1; other negative or non-finite values say nothing either.
+    pub fn put(self, value: f64, report: &mut Report) {
+        let value = Some(value).filter(|v| v.is_finite() && *v >= 0.0);
+        match self {
+            Self::Free => report.free = value,
+            Self::Lines => report.lines = value,
+            Self::InWork => report.in_work = value,
+            Self::Queue => report.queue = value,
+            Self::Busy => report.busy = value,
+            Self::WaitMs => report.wait_s = value.map(|v| v / 1000.0),
+            Self::Rate => report.rate = value,
+            Self::HoldBack => report.hold_back = value,
+            Self::Unknown => {}
+        }
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct RawClass {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     effect: String,
     #[serde(default)]
@@ -37,6 +82,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct RawTenant {
+    #[serde(default)]
+    name: String,
     quota_per_s: f64,
 }
 
@@ -44,6 +91,7 @@
 #[serde(rename_all = "kebab-case", default)]
 struct RawFamily {
     far_reports: String,
+    circuits_by_class: Vec<f64>,
     guard_s: f64,
     own_number: Option<f64>,
     skilled_pools: Vec<Vec<u16>>,
@@ -65,6 +113,10 @@
     retry_after: bool,
     #[serde(default)]
     max_retry_after_s: f64,
+    #[serde(default)]
+    dial_timeout_s: f64,
+    #[serde(default)]
+    max_open: u32,
 }
 
 #[derive(Deserialize)]
@@ -74,6 +126,8 @@
     fall_multiple: f64,
     fall_s: f64,
     ramp_time_s: f64,
+    #[serde(default)]
+    stop_sending_within_s: f64,
 }
 
 #[derive(Deserialize, Default)]
@@ -112,34 +166,66 @@
     tenants: Vec<RawTenant>,
 }
 
-/// How this site words its records.
+impl Raw {
+    fn wording(&self) -> Wording {
+        Wording {
+            fields: self.stats.fields.iter().map(|name| (name.clone(), Field::named(name))).collect(),
+            marks_redials: self.clients.marks_retry,
+            classes: self.classes.iter().map(|class| class.name.clone()).collect(),
+            tenants: self.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
+            widths: self.family_info.circuits_by_class.clone(),
+            grace: micros(self.rules.stop_sending_within_s),
+            dial_timeout: micros(self.policy_limits.dial_timeout_s),
+            max_open: self.policy_limits.max_open,
+        }
+    }
+}
+
+/// How this site words its records, and what a front needs beside the module's settings.
+#[derive(Debug, Clone, PartialEq)]
 pub struct Wording {
-    /// Load report values by place.
-    pub fields: Vec<Field>,
+    /// Load report values by place, with their names.
+    pub fields: Vec<(String, Field)>,
     /// Callers mark that they dial again.
     pub marks_redials: bool,
+    /// The classes' names, in the order of the settings.
+    pub classes: Vec<String>,
+    /// The customers' names, in the order of the settings.
+    pub tenants: Vec<String>,
+    /// Circuits that a call of each class takes.
+    pub widths: Vec<f64>,
+    /// Nothing new to a server later than this after a drain was told.
+    pub grace: Micros,
+    /// A connection that is not up by then has failed; 0 where none is told.
+    pub dial_timeout: Micros,
+    /// Calls in set-up at once; 0 where no bound is told.
+    pub max_open: u32,
 }
 
+/// Why a settings text cannot be used.
+#[derive(Debug)]
+pub struct ConfigError(serde_json::Error);
+
+impl std::fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "unusable settings: {}", self.0)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
 /// Seconds to whole microseconds; what is negative or not finite becomes 0.
 pub fn micros(seconds: f64) -> u64 {
     (seconds * 1e6).round() as u64
 }
 
 /// Reads the settings and the site's wording.
-pub fn read(text: &[u8]) -> Result<(Settings, Wording), String> {
-    let raw: Raw = serde_json::from_slice(text).map_err(|e| format!("unusable settings: {e}"))?;
-    let fields = raw.stats.fields.iter().map(|name| match name.as_str() {
-        "idle" => Field::Free,
-        "circuits" => Field::Lines,
-        "rif" => Field::InWork,
-        "q" => Field::Queue,
-        "busy" => Field::Busy,
-        "lat_ms" => Field::WaitMs,
-        "max_rate" => Field::Rate,
-        "reduce" => Field::HoldBack,
-        _ => Field::Unknown,
-    });
-    let fields = fields.collect();
+///
+/// # Errors
+/// Names the key, line and column at which the text is no JSON or lacks what must be there.
+pub fn read(text: &[u8]) -> Result<(Settings, Wording), ConfigError> {
+    let raw: Raw = serde_json::from_slice(text).map_err(ConfigError)?;
+    let wording = raw.wording();
     let pools = raw.family_info.topology == "skills";
     let classes = raw.classes.iter().enumerate().map(|(i, class)| Class {
         worth: class.worth,
@@ -186,5 +272,5 @@
         fall_multiple: raw.rules.fall_multiple,
         fall_time: micros(raw.rules.fall_s),
     };
-    Ok((settings, Wording { fields, marks_redials: raw.clients.marks_retry }))
+    Ok((settings, wording))
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod config;
 pub mod interface;
 mod measure;
 mod policy;
