--- a/crates/node/src/state/callers.rs
+++ b/crates/node/src/state/callers.rs
@@ -66,7 +66,7 @@
         }
     }
 
-    pub(super) fn from_caller(&mut self, link: LinkId, message: Message, out: &mut Vec<Output>) {
+    pub(super) fn caller_said(&mut self, link: LinkId, message: Message, out: &mut Vec<Output>) {
         if !self.links.contains_key(&link) {
             return;
         }
--- a/crates/node/src/state/mod.rs
+++ b/crates/node/src/state/mod.rs
@@ -220,11 +220,11 @@
         self.now = self.now.max(now);
         match input {
             Input::CallerUp(link, ip) => self.caller_up(link, ip, out),
-            Input::FromCaller(link, message) => self.from_caller(link, message, out),
+            Input::FromCaller(link, message) => self.caller_said(link, message, out),
             Input::CallerDown(link) => self.caller_down(link, out),
             Input::ServerUp(conn) => self.server_up(conn, out),
             Input::DialFailed(conn, refused) => self.dial_failed(conn, refused, out),
-            Input::FromServer(conn, message) => self.from_server(conn, &message, out),
+            Input::FromServer(conn, message) => self.server_said(conn, &message, out),
             Input::Part(conn) => self.servers.part(conn, self.now),
             Input::ServerDown(conn) => self.server_down(conn, out),
             Input::Names(bytes) => {
--- a/crates/node/src/state/servers.rs
+++ b/crates/node/src/state/servers.rs
@@ -407,7 +407,7 @@
         self.server_down(id, out);
     }
 
-    pub(super) fn from_server(&mut self, id: ConnId, message: &Message, out: &mut Vec<Output>) {
+    pub(super) fn server_said(&mut self, id: ConnId, message: &Message, out: &mut Vec<Output>) {
         let Some(conn) = self.servers.conns.get_mut(&id) else { return };
         (conn.heard_at, conn.tested_at, conn.part_since) = (self.now, None, None);
         let server = conn.server;
