A write after a reset no longer stands the node still; a server's taken address ends its calls

Cause: coat/line.rs, flush(). A write to a connection that was reset a moment ago, before its reader saw it, failed; its bytes waited for 'writable', which such a socket always is, and the failed write was tried again without end: one thread, so the whole node. Probe: a test with that order of events stands still for its 20 s with the old line and passes with the new one, which gives the connection up on an error. Beside it, by the log of servers that come and go: a new server at the address of one that is gone is not taken for the old one (state/servers.rs, listed()); a server off the list is not dialled again and its calls end after 1.5 s. The log tells, at debug, what the node believes of each server by the second; Controller::beliefs() is read for it.

--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use baydrift::interface::{
-    Action, Call, CallId, Entry, Event, ListKind, Micros, Note, Outcome, Report, ServerId, ServerState,
-    Settings, SettingsError,
+    Action, Belief, Call, CallId, Entry, Event, ListKind, Micros, Note, Outcome, Report, ServerId,
+    ServerState, Settings, SettingsError,
 };
 use baydrift::Controller;
 
@@ -31,12 +31,21 @@
 pub trait Policy: std::fmt::Debug + Send {
     /// Takes one event, at a time that never goes back; appends what is to be done.
     fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>);
+
+    /// What it believes of each server, for logs.
+    fn beliefs(&self) -> Vec<Belief> {
+        Vec::new()
+    }
 }
 
 impl Policy for Controller {
     fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         Self::handle(self, now, event, actions);
     }
+
+    fn beliefs(&self) -> Vec<Belief> {
+        Self::beliefs(self)
+    }
 }
 
 /// Bounds and times that are no decisions.
@@ -276,6 +285,11 @@
         }
     }
 
+    /// What the module believes of each server, for logs.
+    pub fn beliefs(&self) -> Vec<Belief> {
+        self.policy.beliefs()
+    }
+
     /// Calls held, in set-up or standing.
     pub fn calls_held(&self) -> usize {
         self.calls.len()
--- a/crates/node/src/coat/line.rs
+++ b/crates/node/src/coat/line.rs
@@ -60,7 +60,7 @@
         if self.closed.get() {
             return;
         }
-        let sent = if self.unsent.borrow().is_empty() { self.try_write(bytes) } else { 0 };
+        let sent = if self.unsent.borrow().is_empty() { self.try_write(bytes).unwrap_or(0) } else { 0 };
         if sent == bytes.len() {
             return;
         }
@@ -74,12 +74,11 @@
         }
     }
 
-    fn try_write(&self, bytes: &[u8]) -> usize {
+    /// What the socket took; an error is the connection's end, which the reader sees as well and tells of.
+    fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
         match self.stream.try_write(bytes) {
-            Ok(n) => n,
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => 0,
-            // The reader sees the same end and tells of it.
-            Err(_) => 0,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(0),
+            done => done,
         }
     }
 
@@ -90,7 +89,8 @@
                     return;
                 }
                 let mut unsent = self.unsent.borrow_mut();
-                let sent = self.try_write(&unsent);
+                // Guards against a connection that is reset: it is always 'writable'.
+                let Ok(sent) = self.try_write(&unsent) else { return };
                 unsent.drain(..sent);
             }
         };
@@ -153,3 +153,46 @@
         let _ = core.send(Said::Down(key).into()).await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::sync::mpsc as std_mpsc;
+    use std::time::Duration;
+
+    use tokio::net::TcpListener;
+
+    use super::*;
+
+    /// Guards against a write to a connection that was reset a moment ago, before its reader saw it: the socket is
+    /// 'writable' for ever, and a flush that tried again on an error stood the whole node still.
+    #[test]
+    fn a_write_after_a_reset_holds_up_nobody() {
+        let (done, finished) = std_mpsc::channel();
+        std::thread::spawn(move || {
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+            tokio::task::LocalSet::new().block_on(&runtime, async {
+                let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+                let stream =
+                    TcpStream::connect(listener.local_addr().expect("its address")).await.expect("up");
+                let (peer, _) = listener.accept().await.expect("accepted");
+                let line = Line::new(stream, Duration::from_secs(60));
+                line.stream.writable().await.expect("it is writable");
+                line.write(b"not read");
+                peer.readable().await.expect("it has come");
+                // What it has not read makes its end a reset.
+                drop(peer);
+                // Not awaited: nobody may see the reset before the write.
+                while line.stream.take_error().expect("its state").is_none() {
+                    std::thread::yield_now();
+                }
+                line.write(b"too late");
+                for _ in 0..100 {
+                    tokio::task::yield_now().await;
+                }
+            });
+            done.send(()).expect("the test waits");
+        });
+        assert!(finished.recv_timeout(Duration::from_secs(20)).is_ok(), "the thread stands still");
+    }
+}
--- a/crates/node/src/state/callers.rs
+++ b/crates/node/src/state/callers.rs
@@ -178,6 +178,7 @@
     /// A caller gives a set-up up, or releases a call that stands.
     fn released(&mut self, link: LinkId, call: Id, out: &mut Vec<Output>) {
         let Some(caller) = self.calls.get(&call).copied() else { return };
+        tracing::trace!("{call}: released by its caller, standing {}", caller.stands);
         if let Some(own) = self.links.get_mut(&link) {
             own.useful |= caller.stands;
         }
@@ -189,6 +190,7 @@
 
     pub(super) fn caller_down(&mut self, link: LinkId, out: &mut Vec<Output>) {
         let Some(own) = self.links.remove(&link) else { return };
+        tracing::trace!("link {} down: {} open, {} stand", link.0, own.open.len(), own.standing);
         for call in own.open {
             self.calls.remove(&call);
             let (session, request) = (self.session(call), Request { link, ticket: 0 });
@@ -222,11 +224,14 @@
     /// A call that stood is over: its caller hears it on the connection of its set-up, or else on the newest one
     /// from the same address, or on the next.
     pub(super) fn call_over(&mut self, call: Id, outcome: Outcome, out: &mut Vec<Output>) {
-        let Some(caller) = self.leave(call) else { return };
+        let Some(caller) = self.leave(call) else {
+            return tracing::trace!("{call}: over, and nobody to tell");
+        };
         let cause = if outcome == Outcome::Ok { Cause::NORMAL } else { Cause::TEMPORARY };
         let near = |link: &super::callers::Link| Some(link.ip) == caller.ip;
         let own = self.links.contains_key(&caller.link).then_some(caller.link);
         let link = own.or_else(|| self.links.iter().rev().find(|(_, l)| near(l)).map(|(id, _)| *id));
+        tracing::trace!("{call}: {outcome:?} told, own link {} now {link:?}", caller.link.0);
         match (link, caller.ip) {
             (Some(link), _) => write(out, link, &Message::release(call, cause)),
             (None, Some(ip)) => {
--- a/crates/node/src/state/mod.rs
+++ b/crates/node/src/state/mod.rs
@@ -4,6 +4,7 @@
 //! attempts on them, `names` the asking of the name server. All that is decided comes from the call engine and
 //! the module behind it; here it is only brought to the right connection.
 
+mod belief;
 mod callers;
 mod names;
 mod servers;
@@ -165,6 +166,7 @@
     deaf: bool,
     looked_at: Micros,
     counts: Counts,
+    belief: belief::Seen,
 }
 
 impl Node {
@@ -204,6 +206,7 @@
             deaf: false,
             looked_at: 0,
             counts: Counts::default(),
+            belief: belief::Seen::default(),
         })
     }
 
@@ -285,6 +288,7 @@
         self.looked_at = self.now;
         self.look_at_servers(out);
         self.look_at_callers(out);
+        self.tell_beliefs();
         let Some(since) = self.stopped_at.map(|at| self.now.saturating_sub(at)) else { return };
         if since >= HAND_OVER && !self.deaf {
             self.deaf = true;
--- a/crates/node/src/state/servers.rs
+++ b/crates/node/src/state/servers.rs
@@ -31,6 +31,8 @@
 const REDIAL: (Micros, Micros) = (100_000, 1_000_000);
 /// A server that cannot be reached for so long has lost its calls: their callers are owed word within 8 s.
 const LOST_AFTER: Micros = 3_500_000;
+/// And one that the list does not name, sooner: the list is never so far behind.
+const GONE_AFTER: Micros = 1_500_000;
 /// A connection remembers calls that are over on it for so long, and so many.
 const PAST: (usize, Micros) = (512, 20_000_000);
 /// Releases that wait for a connection to their server.
@@ -128,6 +130,13 @@
             server.listed = None;
         }
         for line in lines {
+            tracing::debug!(
+                "listed: {} {:x} {:?} {}",
+                line.name,
+                server_id(&line.name),
+                line.state,
+                line.address
+            );
             let id = server_id(&line.name);
             let server = self.known.entry(id).or_insert_with(|| {
                 fresh.push(id);
@@ -141,6 +150,16 @@
                 (server.address, server.dial_at) = (Some(line.address), now);
             }
         }
+        // Guards against a new server at the address of one that is gone: whatever answers there now knows none of
+        // the old one's calls, and a dial that succeeds proves nothing.
+        let taken: BTreeSet<_> = lines.iter().map(|line| line.address).collect();
+        for (id, server) in self.known.iter_mut().filter(|(_, server)| server.listed.is_none()) {
+            if server.address.is_some_and(|address| taken.contains(&address)) {
+                server.address = None;
+                server.owed.clear();
+                self.restarted.push((*id, Micros::MAX));
+            }
+        }
         fresh
     }
 
@@ -186,8 +205,10 @@
                 let share = self.bounds.all / self.known.len().max(1);
                 (busy + 1).clamp(CONNS_LEAST, CONNS_MOST.min(share).max(CONNS_LEAST))
             }
+            // Whatever answers there now is not the process that is gone.
+            None => 0,
             // What stands or is owed there is told on any connection, or on the next.
-            _ => usize::from(busy > 0 || !server.standing.is_empty() || !server.owed.is_empty()),
+            Some(_) => usize::from(busy > 0 || !server.standing.is_empty() || !server.owed.is_empty()),
         }
     }
 
@@ -277,6 +298,8 @@
         }
         flight.conn = Some(conn);
         flight.at = self.now;
+        tracing::trace!("{} at {:x}: set-up on {}", flight.call, flight.server, conn.0);
+        self.belief.sent(flight.server);
         if let Some(conn) = self.servers.conns.get_mut(&conn) {
             conn.open.insert(flight.call, attempt);
         }
@@ -287,6 +310,10 @@
     pub(super) fn release(&mut self, attempt: AttemptId, out: &mut Vec<Output>) {
         let Some(flight) = self.flights.remove(&attempt) else { return };
         let Flight { server, call, conn, stands, unsent, .. } = flight;
+        tracing::trace!("{call} at {server:x}: released, standing {stands}");
+        if !stands && unsent.is_none() {
+            self.belief.ended(server, Outcome::Timeout);
+        }
         let home = conn.filter(|conn| self.servers.conns.get(conn).is_some_and(|conn| conn.up));
         if unsent.is_some() {
             if let Some(server) = self.servers.known.get_mut(&server) {
@@ -327,7 +354,10 @@
         out: &mut Vec<Output>,
     ) {
         // Forgotten first: nothing is left at the server that a release would end.
-        self.flights.remove(&attempt);
+        if let Some(flight) = self.flights.remove(&attempt) {
+            tracing::trace!("{} at {:x}: {outcome:?} {note:?}", flight.call, flight.server);
+            self.belief.ended(flight.server, outcome);
+        }
         self.engine(Moment::Ended { attempt, end: AttemptEnd { outcome, note, report } }, out);
     }
 
@@ -335,6 +365,7 @@
         let now = self.now;
         let Some(conn) = self.servers.conns.get_mut(&id) else { return out.push(Output::CloseServer(id)) };
         (conn.up, conn.heard_at) = (true, now);
+        tracing::debug!("{:x}: connection {} up", conn.server, id.0);
         let of = conn.server;
         let Some(server) = self.servers.known.get_mut(&of) else { return };
         (server.failures, server.down_since) = (0, None);
@@ -356,6 +387,7 @@
     pub(super) fn dial_failed(&mut self, id: ConnId, refused: bool, out: &mut Vec<Output>) {
         let now = self.now;
         let Some(conn) = self.servers.remove(now, id) else { return };
+        tracing::debug!("{:x}: connection {} not up, refused {refused}", conn.server, id.0);
         let up = self.servers.any_up(conn.server).is_some();
         let Some(server) = self.servers.known.get_mut(&conn.server) else { return };
         server.dial_at = now + (REDIAL.0 << server.failures.min(8)).min(REDIAL.1);
@@ -378,6 +410,7 @@
         let gone: Vec<_> =
             self.flights.iter().filter(|(_, f)| here(f)).map(|(id, f)| (*id, f.clone())).collect();
         self.counts.lost += u64::from(!gone.is_empty());
+        tracing::debug!("{server:x}: its process is gone, with {} calls", gone.len());
         for (attempt, flight) in gone {
             self.flights.remove(&attempt);
             if let Some(conn) = flight.conn.and_then(|conn| self.servers.conns.get_mut(&conn)) {
@@ -393,6 +426,7 @@
     /// A connection that was up has ended: what is open on it may have run. Calls that stand are not touched.
     pub(super) fn server_down(&mut self, id: ConnId, out: &mut Vec<Output>) {
         let Some(conn) = self.servers.remove(self.now, id) else { return };
+        tracing::debug!("{:x}: connection {} down, {} open", conn.server, id.0, conn.open.len());
         self.counts.broken += u64::from(!conn.open.is_empty());
         // Dialled before what was open is placed again, so that it finds a connection.
         self.servers.dial(self.now, conn.server, false, out);
@@ -451,6 +485,8 @@
         if let Some(flight) = self.flights.get_mut(&attempt) {
             flight.stands = true;
         }
+        tracing::trace!("{call} at {server:x}: stands");
+        self.belief.ended(server, Outcome::Ok);
         self.servers.stands(self.now, server, call, attempt);
         self.answer = Some(description);
         self.engine(Moment::Stands { attempt, report }, out);
@@ -487,6 +523,7 @@
             if was_here && home.is_some_and(|home| self.servers.conns.contains_key(&home)) {
                 return Ok(());
             }
+            tracing::trace!("{call} at {server:x}: over, cause {cause}");
             self.flights.remove(&attempt);
             if let Some(known) = self.servers.known.get_mut(&server) {
                 known.standing.remove(&call);
@@ -535,7 +572,8 @@
             .copied()
             .collect();
         server.waiting.retain(|attempt| !late.contains(attempt));
-        let down = server.down_since.is_some_and(|at| now >= at + LOST_AFTER);
+        let after = if server.listed.is_some() { LOST_AFTER } else { GONE_AFTER };
+        let down = server.down_since.is_some_and(|at| now >= at + after);
         let idle = server.listed.is_none() && server.standing.is_empty() && server.waiting.is_empty();
         let conns: Vec<_> = server.conns.iter().copied().collect();
         for attempt in late {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -327,6 +327,27 @@
     Timer(u64),
 }
 
+/// What a controller believes of one server, for logs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Belief {
+    /// The server.
+    pub server: ServerId,
+    /// Its number.
+    pub number: u16,
+    /// Its state as told.
+    pub state: ServerState,
+    /// The reject fraction.
+    pub alpha: f64,
+    /// Set-ups sent and unanswered.
+    pub unanswered: u32,
+    /// The newest load report, and when it was heard; 0 for never.
+    pub report: (Report, Micros),
+    /// The wait last seen by set-up times, in seconds, and when.
+    pub seen: (f64, Micros),
+    /// Since when it counts as cold.
+    pub cold_since: Option<Micros>,
+}
+
 /// What the controller asks of the front.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -411,6 +411,21 @@
         }
     }
 
+    /// What is believed of each server, for logs; decides nothing.
+    pub fn beliefs(&self) -> Vec<Belief> {
+        let belief = |(server, s): (&ServerId, &Server)| Belief {
+            server: *server,
+            number: s.number,
+            state: s.state,
+            alpha: s.alpha,
+            unanswered: s.unanswered,
+            report: (s.report, s.reported_at),
+            seen: (s.seen_wait_s, s.seen_at),
+            cold_since: s.cold_since,
+        };
+        self.servers.iter().map(belief).collect()
+    }
+
     fn log(&mut self, now: Micros, text: String, actions: &mut Vec<Action>) {
         if self.logged_at.is_none_or(|at| now >= at.saturating_add(LOG_EVERY)) {
             self.logged_at = Some(now);
