Node: a loopback test between own stand-ins; ends told before calls are named; better eviction

Seen by that test: at the bound of descriptors a usual caller's connection, idle for a moment, went before 400 that had said nothing (callers.rs, caller_up: oldest idle first). Now those that brought nothing go first. Seen by reading: after a start in the midst of calls a server tells what is over before the caller names it with `at`; the call would have been taken over and never ended.

--- a/crates/node/src/coat/mod.rs
+++ b/crates/node/src/coat/mod.rs
@@ -149,6 +149,8 @@
     }
     let listener =
         TcpListener::bind(config.listen).await.map_err(|e| StartError::Listen(config.listen, e))?;
+    let at = listener.local_addr().map_err(|e| StartError::Listen(config.listen, e))?;
+    tracing::info!("{} listens on {at}", config.name);
     let listening = spawn_local(outside::listen(listener, to_core.clone()));
     let clock = Clock::new();
     let mut core = Core {
--- a/crates/node/src/state/callers.rs
+++ b/crates/node/src/state/callers.rs
@@ -42,14 +42,14 @@
 impl Node {
     pub(super) fn caller_up(&mut self, link: LinkId, ip: IpAddr, out: &mut Vec<Output>) {
         if self.links.len() >= self.links_max {
-            // At the bound the oldest idle connection goes, so that callers still get in.
-            let idle = |stands: bool| {
-                let fits = |l: &&LinkId| {
-                    self.links.get(l).is_some_and(|l| l.open.is_empty() && (stands || l.standing == 0))
-                };
-                self.links.keys().find(fits).copied()
+            // At the bound the oldest idle connection goes, so that callers still get in: first one that brought
+            // nothing yet, then one without calls, then one whose calls stand (their ends are told elsewhere).
+            let oldest = |fits: &dyn Fn(&Link) -> bool| {
+                let mut idle = self.links.iter().filter(|(_, link)| link.open.is_empty() && fits(link));
+                idle.next().map(|(id, _)| *id)
             };
-            match idle(false).or_else(|| idle(true)) {
+            let spare = oldest(&|link| !link.useful).or_else(|| oldest(&|link| link.standing == 0));
+            match spare.or_else(|| oldest(&|_| true)) {
                 Some(old) => self.close_caller(old, out),
                 None => return out.push(Output::CloseCaller(link)),
             }
@@ -111,7 +111,10 @@
             if known == Some(Known::Standing) || known.is_none() {
                 self.stands_already(link, call);
             }
-            if known.is_none() {
+            if let Some(cause) = self.servers.take_unnamed(server_id(at), call).filter(|_| known.is_none()) {
+                let outcome = if cause == Cause::NORMAL { Outcome::Ok } else { Outcome::Reset };
+                self.call_over(call, outcome, out);
+            } else if known.is_none() {
                 self.engine(Moment::Adopted { session, class, server: server_id(at) }, out);
             }
             return Ok(());
--- a/crates/node/src/state/servers.rs
+++ b/crates/node/src/state/servers.rs
@@ -35,6 +35,10 @@
 const GONE_AFTER: Micros = 1_500_000;
 /// A connection remembers calls that are over on it for so long, and so many.
 const PAST: (usize, Micros) = (512, 20_000_000);
+/// Ends of calls that are not known here are kept, so many and for so long. Guards against a start of this process
+/// in the midst of calls: a server tells what is over on the first connection, and the caller names the call, as
+/// one that stands, only after it.
+const UNNAMED: (usize, Micros) = (1_024, 8_000_000);
 /// Releases that wait for a connection to their server.
 const OWED_MAX: usize = 1_000;
 
@@ -112,11 +116,20 @@
     next_conn: u64,
     bounds: Bounds,
     restarted: Vec<(ServerId, Micros)>,
+    /// Ends of calls that no caller has named here yet.
+    unnamed: VecDeque<(Micros, ServerId, Id, u8)>,
 }
 
 impl Servers {
     pub(super) fn new(bounds: Bounds) -> Self {
-        Self { known: BTreeMap::new(), conns: BTreeMap::new(), next_conn: 1, bounds, restarted: Vec::new() }
+        Self {
+            known: BTreeMap::new(),
+            conns: BTreeMap::new(),
+            next_conn: 1,
+            bounds,
+            restarted: Vec::new(),
+            unnamed: VecDeque::new(),
+        }
     }
 
     pub(super) fn open(&self) -> usize {
@@ -174,6 +187,21 @@
         self.known.entry(server).or_insert_with(fresh).standing.insert(call, attempt);
     }
 
+    /// Remembers the end of a call that is not known here.
+    fn put_unnamed(&mut self, now: Micros, server: ServerId, call: Id, cause: u8) {
+        while self.unnamed.len() >= UNNAMED.0 || self.unnamed.front().is_some_and(|u| now >= u.0 + UNNAMED.1)
+        {
+            self.unnamed.pop_front();
+        }
+        self.unnamed.push_back((now, server, call, cause));
+    }
+
+    /// The end of a call that its caller names only now.
+    pub(super) fn take_unnamed(&mut self, server: ServerId, call: Id) -> Option<u8> {
+        let place = self.unnamed.iter().position(|(_, at, id, _)| (*at, *id) == (server, call))?;
+        self.unnamed.remove(place).map(|(.., cause)| cause)
+    }
+
     /// Part of a message has come.
     pub(super) fn part(&mut self, conn: ConnId, now: Micros) {
         if let Some(conn) = self.conns.get_mut(&conn) {
@@ -517,7 +545,12 @@
         } else {
             let was_here = conn.is_over(call);
             let Some(known) = self.servers.known.get(&server) else { return Ok(()) };
-            let Some(attempt) = known.standing.get(&call).copied() else { return Ok(()) };
+            let Some(attempt) = known.standing.get(&call).copied() else {
+                if !was_here {
+                    self.servers.put_unnamed(self.now, server, call, cause);
+                }
+                return Ok(());
+            };
             // A late word on an attempt that was given up here; one on the call would come by its own connection.
             let home = self.flights.get(&attempt).and_then(|flight| flight.conn);
             if was_here && home.is_some_and(|home| self.servers.conns.contains_key(&home)) {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,7 +4,9 @@
 mod far_end;
 mod link;
 mod list;
+mod names;
 mod packets;
+mod platform;
 mod server;
 mod text;
 
@@ -15,6 +17,8 @@
 pub use far_end::FarEnd;
 pub use link::{Datagrams, Link, Watched};
 pub use list::push;
+pub use names::{Listed, NameServer};
 pub use packets::Packets;
+pub use platform::{Manner, PlatformCaller, PlatformServer, Told};
 pub use server::Server;
 pub use text::TextCaller;
