A server's connection that breaks is replaced at once: ends told again are heard in time

The log shows what can do it: a server tells an end that was lost with its connection again on the next one that is opened, and after a break none was opened for 4.8 s, 11 s or ever, since enough were up (state/servers.rs, dial: 'wanted' only); 8 s are allowed. Change: one break, one dial (renew). Beside it, the end of a call that stood counts on any connection (cause 16), also on one that an earlier attempt was given up on. Both with tests.

--- a/crates/node/src/state/servers.rs
+++ b/crates/node/src/state/servers.rs
@@ -106,6 +106,8 @@
     dial_at: Micros,
     /// Since when no connection is up.
     down_since: Option<Micros>,
+    /// A connection broke and none was opened since.
+    renew: bool,
 }
 
 /// All signalling servers.
@@ -247,7 +249,11 @@
         let due = now >= server.dial_at || at_once && !dialling;
         let room = self.conns.len() < self.bounds.all || server.conns.is_empty();
         let wanted = if server.failures > 0 { 1 } else { self.wanted(server) };
-        let missing = wanted.saturating_sub(server.conns.len()).min(2);
+        // Guards against ends of calls that went down with a connection: their server tells them again, but only on
+        // the next connection that is opened, and no set-up may need one for long.
+        let renewed =
+            usize::from(server.renew && server.listed.is_some() && server.conns.len() < 2 * CONNS_MOST);
+        let missing = wanted.saturating_sub(server.conns.len()).max(renewed).min(2);
         let Some(address) = server.address.filter(|_| due && room) else { return };
         for _ in 0..missing {
             let conn = ConnId(self.next_conn);
@@ -264,6 +270,7 @@
             self.conns.insert(conn, fresh);
             if let Some(server) = self.known.get_mut(&id) {
                 server.conns.insert(conn);
+                server.renew = false;
             }
             out.push(Output::Dial(conn, address));
         }
@@ -275,6 +282,7 @@
         let none_up = self.any_up(conn.server).is_none();
         if let Some(server) = self.known.get_mut(&conn.server) {
             server.conns.remove(&id);
+            server.renew |= conn.up;
             if none_up {
                 server.down_since.get_or_insert(now);
             }
@@ -551,12 +559,17 @@
                 }
                 return Ok(());
             };
-            // A late word on an attempt that was given up here; one on the call would come by its own connection.
             let home = self.flights.get(&attempt).and_then(|flight| flight.conn);
-            if was_here && home.is_some_and(|home| self.servers.conns.contains_key(&home)) {
+            tracing::trace!(
+                "{call} at {server:x}: over, cause {cause}, on {}, set up on {home:?}, {was_here}",
+                id.0
+            );
+            // A late word on an attempt that was given up here; one on the call would come by its own connection.
+            // Only the end of one that stood is never meant for an attempt that did not.
+            let late = was_here && cause != Cause::NORMAL;
+            if late && home.is_some_and(|home| self.servers.conns.contains_key(&home)) {
                 return Ok(());
             }
-            tracing::trace!("{call} at {server:x}: over, cause {cause}");
             self.flights.remove(&attempt);
             if let Some(known) = self.servers.known.get_mut(&server) {
                 known.standing.remove(&call);
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -27,7 +27,7 @@
     rig.server_says(second, answer(7));
     assert_eq!(rig.told(7), [(1, Kind::Answer, None)]);
     // Nor does it end the call that stands.
-    rig.server_says(first, Message::release(call(7), Cause::NORMAL));
+    rig.server_says(first, Message::release(call(7), Cause::TEMPORARY));
     assert_eq!(rig.told(7).len(), 1);
     rig.server_says(second, Message::release(call(7), Cause::NORMAL));
     assert_eq!(rig.told(7).len(), 2);
@@ -198,3 +198,44 @@
     assert!(rig.released(6).is_empty() && rig.told(6).len() == 1, "what stands is left to the next process");
     assert!(!rig.closed_callers.contains(&LinkId(1)));
 }
+
+/// Guards against the end of a call that went down with a connection: its server tells it again on the next one.
+#[test]
+fn a_connection_that_breaks_is_replaced_at_once_though_none_is_needed() {
+    let mut rig = Rig::serving();
+    for id in 1..=6 {
+        rig.says(1, set_up(id, "3000"));
+        rig.all_up();
+    }
+    for id in 1..=6 {
+        let conn = rig.set_up_of(id).expect("a set-up");
+        rig.server_says(conn, answer(id));
+    }
+    let (before, conn) = (rig.dialled_ever.len(), rig.set_up_of(6).expect("a set-up"));
+    rig.hear(Input::ServerDown(conn));
+    assert_eq!(rig.dialled_ever.len(), before + 1);
+    let next = *rig.dialled.keys().last().expect("dialled");
+    rig.hear(Input::ServerUp(next));
+    rig.server_says(next, Message::release(call(6), Cause::NORMAL));
+    assert_eq!(rig.told(6).last(), Some(&(1, Kind::Release, Some(Cause::NORMAL))));
+    rig.pass(SECOND);
+    assert_eq!(rig.dialled_ever.len(), before + 1, "one for one");
+}
+
+#[test]
+fn the_end_of_a_call_counts_on_a_connection_that_an_earlier_attempt_was_on() {
+    let one = r#"[{"name":"s-one","address":"10.1.0.1:5080","group":0,"status":"in_service","since_ms":0}]"#;
+    let mut rig = Rig::new(&config(one));
+    rig.all_up();
+    rig.caller(1);
+    rig.says(1, set_up(7, "3000"));
+    let first = rig.set_up_of(7).expect("a set-up");
+    rig.server_says(first, Message::release(call(7), Cause::TEMPORARY));
+    rig.pass(500 * MS);
+    let second = rig.set_up_of(7).expect("another");
+    rig.server_says(second, answer(7));
+    rig.server_says(first, Message::release(call(7), Cause::TEMPORARY));
+    assert_eq!(rig.told(7).len(), 1, "late, on the attempt that broke");
+    rig.server_says(first, Message::release(call(7), Cause::NORMAL));
+    assert_eq!(rig.told(7).len(), 2);
+}
