A call whose answer was lost ends when its server says so, and is not set up again

Ruled out by traces: ends ignored as late, ends on other connections, callers' connections, answers that are nobody's (0). Cause: state/servers.rs, ended(), took every release before the answer but 34, 17, 47 and 102 for a reset. Cause 16 there is a call that stood and came to its end while its answer was lost. Change: Input::Over on an attempt that is out: the module hears Ended(Ok), complete, as the simulator tells it; the caller hears at once that the call failed. Tests in crates/call and crates/node.

--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -750,10 +750,8 @@
         }
     }
 
-    /// The server's word that an attempt is over: `Ok` only says so of one that stands.
+    /// The server's word that an attempt is over.
     fn over(&mut self, id: AttemptId, outcome: Outcome, report: Report, out: &mut Vec<Output<P>>) {
-        let stands = self.attempts.get(&id).is_some_and(|a| a.stage == Stage::Standing);
-        let outcome = if stands { outcome } else { Outcome::Reset };
         let end = AttemptEnd { report, ..AttemptEnd::plain(outcome) };
         match self.attempts.get(&id).map(|a| (a.stage, a.call)) {
             Some((Stage::Standing, call)) => {
@@ -762,6 +760,12 @@
                 self.forget_call(call, Final::Stands);
                 self.end_attempt(id, end, true);
             }
+            // It stood there and came to its end, only its answer was lost: over is over. Guards against setting up
+            // anew what its server has told the end of, so that one call ends twice.
+            Some((Stage::Out, call)) if outcome == Outcome::Ok => {
+                self.end_attempt(id, end, true);
+                self.answer(call, Final::Failed, out);
+            }
             Some((Stage::Out, _)) => self.end_attempt(id, end, false),
             Some((Stage::Releasing { .. }, _)) => self.release_done(id, report),
             None => self.counts.late += 1,
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -24,6 +24,7 @@
 //! | caller releases a standing call | at the server's word or its time-out: `Ended(Ok)` | in it |
 //! | caller gives up before the answer | `Abandoned`, `Ended(Cancelled)` if one is out | |
 //! | server ends a standing call | `Ended(Ok)`, complete | in it |
+//! | server ends a call whose answer was lost | `Ended(Ok)`, complete; the caller is told that it failed | in it |
 //! | call taken over that stands already | none; its end: a report alone, as unasked news | own event: `Probed` |
 //! | server cuts a standing call | `Ended(Reset)`, complete | in it |
 //! | server gone or restarted with standing calls | `Ended(Reset)`, complete, each | |
--- a/crates/call/tests/calls.rs
+++ b/crates/call/tests/calls.rs
@@ -5,7 +5,7 @@
 use baydrift::interface::{ListKind, Note, Outcome, Report, ServerState};
 use baydrift_call::guard::Breach;
 use baydrift_call::{
-    AttemptEnd, Final, Input, Limits, LinkId, LinkState, Output, Process, Refusal, ReleaseResult,
+    AttemptEnd, Final, Input, Known, Limits, LinkId, LinkState, Output, Process, Refusal, ReleaseResult,
 };
 use common::*;
 
@@ -268,3 +268,31 @@
     assert_eq!(answers(&out).len(), 1);
     assert_eq!(w.engine.held_back(Breach::Drained), 0);
 }
+
+#[test]
+fn a_call_ends_by_its_servers_word_also_when_its_answer_was_lost() {
+    let mut w = World::new(Limits::default());
+    let standing = w.standing(1);
+    w.input(Input::Over { attempt: standing, report: Report::default() });
+    assert_eq!((w.engine.calls_held(), w.engine.counts().cut), (0, 0));
+    let (attempt, _) = set_up(&w.offer(2)).unwrap();
+    let mut out = w.input(Input::Over { attempt, report: Report::default() });
+    out.extend(w.pass(3 * S));
+    assert_eq!((answers(&out), set_ups(&out)), (vec![Final::Failed], 0));
+    assert_eq!(w.engine.calls_held(), 0);
+}
+
+#[test]
+fn a_call_that_stands_already_is_taken_over_once() {
+    let mut w = World::new(Limits::default());
+    let adopted = |w: &mut World| w.input(Input::Adopted { session: session(1), class: 0, server: 0 });
+    let out = adopted(&mut w);
+    let Some(Output::Adopted { attempt, server: 0, .. }) = out.first() else { panic!("{out:?}") };
+    assert_eq!(w.engine.knows(&session(1)), Some(Known::Standing));
+    let attempt = *attempt;
+    assert!(adopted(&mut w).is_empty());
+    let out = w.input(Input::Released { session: session(1), request: request(1, 50) });
+    assert_eq!((releases(&out), set_ups(&out)), (vec![attempt], 0));
+    assert_eq!(w.engine.knows(&session(1)), Some(Known::Over));
+    assert_eq!(w.engine.knows(&session(2)), None);
+}
--- a/crates/node/src/state/servers.rs
+++ b/crates/node/src/state/servers.rs
@@ -541,7 +541,14 @@
         let (call, cause, report) = (message.call, message.cause()?, self.report_of(message)?);
         let Some(conn) = self.servers.conns.get_mut(&id) else { return Ok(()) };
         if let Some(attempt) = conn.open.remove(&call) {
+            tracing::trace!("{call} at {server:x}: released with cause {cause} before its answer");
             conn.put_past(self.now, call);
+            if cause == Cause::NORMAL {
+                // Its answer was lost on the way, and this is the call's own end.
+                self.flights.remove(&attempt);
+                self.engine(Moment::Over { attempt, report }, out);
+                return Ok(());
+            }
             let outcome = match cause {
                 Cause::NO_CIRCUIT => Outcome::Full,
                 Cause::BUSY | Cause::RESOURCE => Outcome::Error,
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -239,3 +239,16 @@
     rig.server_says(first, Message::release(call(7), Cause::NORMAL));
     assert_eq!(rig.told(7).len(), 2);
 }
+
+/// Guards against a call that ends twice: its answer was lost, and its end comes while the answer is awaited.
+#[test]
+fn the_end_of_a_call_whose_answer_was_lost_is_its_end() {
+    let mut rig = Rig::serving();
+    rig.says(1, set_up(7, "3000"));
+    let conn = rig.set_up_of(7).expect("a set-up");
+    rig.pass(500 * MS);
+    rig.server_says(conn, Message::release(call(7), Cause::NORMAL));
+    assert_eq!(rig.told(7), [(1, Kind::Release, Some(Cause::TEMPORARY))], "failed, at once");
+    rig.pass(3 * SECOND);
+    assert_eq!((rig.set_ups(7), rig.told(7).len()), (1, 1), "and never set up again");
+}
