Node: set-ups without an answer hold six megabytes at most

Seen by reading the bounds: they counted calls, not bytes. 6,000 set-ups with descriptions of 15 KB are 90 MB, where the platform kills at 32. Change: callers.rs counts what set-ups hold until their answer; beyond 6 MiB they are refused, harmless to repeat; a test fills it and finds room again after give-ups.

--- a/crates/node/src/state/callers.rs
+++ b/crates/node/src/state/callers.rs
@@ -19,6 +19,9 @@
 const USEFUL_WITHIN: Micros = 2_000_000;
 /// Messages that cannot be used before a connection is closed, lest it sends on at full speed.
 const FAULTS_MAX: u32 = 4;
+/// Bytes of set-ups without an answer. Guards against thousands with the longest descriptions, which would not fit
+/// into a small machine's memory: a usual one has some hundred bytes.
+const SET_UP_BYTES_MAX: usize = 6 << 20;
 /// Ends of calls that wait for a connection of their caller, and for how long: 8 s at most are allowed.
 const OWED: (usize, Micros) = (1_000, 7_000_000);
 
@@ -136,7 +139,13 @@
             link.open.insert(call);
         }
         let ip = self.links.get(&link).map(|link| link.ip);
-        self.calls.insert(call, Caller { link, ip, stands: false });
+        let bytes = setup.description.len() + setup.class.len();
+        self.set_up_bytes += bytes;
+        self.calls.insert(call, Caller { link, ip, stands: false, bytes });
+        if self.set_up_bytes > SET_UP_BYTES_MAX {
+            self.tell_refused(call, true, out);
+            return Ok(());
+        }
         let payload = Payload {
             class: Bytes::from(setup.class),
             number: setup.number.0,
@@ -175,7 +184,7 @@
         let Some(own) = self.links.get_mut(&link) else { return };
         own.useful = true;
         own.standing += 1;
-        self.calls.insert(call, Caller { link, ip: Some(own.ip), stands: true });
+        self.calls.insert(call, Caller { link, ip: Some(own.ip), stands: true, bytes: 0 });
     }
 
     /// A caller gives a set-up up, or releases a call that stands.
@@ -195,7 +204,7 @@
         let Some(own) = self.links.remove(&link) else { return };
         tracing::trace!("link {} down: {} open, {} stand", link.0, own.open.len(), own.standing);
         for call in own.open {
-            self.calls.remove(&call);
+            self.leave(call);
             let (session, request) = (self.session(call), Request { link, ticket: 0 });
             self.engine(Moment::Released { session, request }, out);
         }
@@ -210,6 +219,7 @@
     pub(super) fn tell_stands(&mut self, call: Id, description: Bytes, out: &mut Vec<Output>) {
         let Some(caller) = self.calls.get_mut(&call) else { return };
         caller.stands = true;
+        self.set_up_bytes -= std::mem::take(&mut caller.bytes);
         let link = caller.link;
         if let Some(own) = self.links.get_mut(&link) {
             own.open.remove(&call);
@@ -250,6 +260,7 @@
     /// Forgets where a call's caller is.
     fn leave(&mut self, call: Id) -> Option<Caller> {
         let caller = self.calls.remove(&call)?;
+        self.set_up_bytes -= caller.bytes;
         if let Some(link) = self.links.get_mut(&caller.link) {
             link.open.remove(&call);
             link.standing -= usize::from(caller.stands && link.standing > 0);
--- a/crates/node/src/state/mod.rs
+++ b/crates/node/src/state/mod.rs
@@ -97,6 +97,8 @@
     link: LinkId,
     ip: Option<IpAddr>,
     stands: bool,
+    /// What its set-up holds in memory until it is answered.
+    bytes: usize,
 }
 
 /// A set-up on its way to a server, or standing there.
@@ -152,6 +154,8 @@
     owner: Arc<str>,
     fleet: Fleet,
     calls: BTreeMap<Id, Caller>,
+    /// Bytes of all set-ups that are not answered yet.
+    set_up_bytes: usize,
     links: BTreeMap<LinkId, callers::Link>,
     links_max: usize,
     owed: callers::Owed,
@@ -194,6 +198,7 @@
             owner: Arc::from("callers"),
             fleet: config.known.clone(),
             calls: BTreeMap::new(),
+            set_up_bytes: 0,
             links: BTreeMap::new(),
             links_max: config.sockets - bounds.kept_back(),
             owed: callers::Owed::default(),
--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -231,3 +231,32 @@
     assert_eq!(rig.told(7), [(1, Kind::Release, Some(Cause::NORMAL))]);
     assert_eq!(rig.node.held()[3], 0);
 }
+
+/// Guards against thousands of set-ups with the longest descriptions: memory has a bound in bytes, not only in calls.
+#[test]
+fn set_ups_hold_bounded_memory_and_are_refused_beyond_it() {
+    let mut rig = Rig::serving();
+    let long = |id| {
+        let mut message = set_up(id, "3000");
+        message.parameters.retain(|(code, _)| *code != Code::DESCRIPTION);
+        message.with(Code::DESCRIPTION, vec![b'x'; 15_000])
+    };
+    let refused = |rig: &Rig, id| rig.told(id) == [(1, Kind::Release, Some(Cause::NO_CIRCUIT))];
+    // They wait for the next connection, so that none is answered.
+    let mut taken = Vec::new();
+    for id in 1..=900 {
+        rig.says(1, long(id));
+        if rig.told(id).is_empty() {
+            taken.push(id);
+        }
+    }
+    assert!(taken.len() <= 420, "{}", taken.len());
+    assert!(refused(&rig, 900));
+    // What is given up makes room again.
+    for id in taken {
+        rig.says(1, Message::release(call(id), Cause::NORMAL));
+    }
+    assert_eq!(rig.node.held()[2], 0);
+    rig.says(1, long(1_000));
+    assert_eq!((rig.set_ups(1_000), rig.told(1_000).len()), (1, 0));
+}
