--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -7,9 +7,8 @@
 use baydrift_platform::{Cause, Code, Id, Kind, Message};
 use common::{answer, call, config, set_up, Rig, MS, SECOND, TWO};
 
-/// Guards against a late word on an attempt that was given up, taken for one on the next.
-#[test]
-fn a_late_reply_is_not_the_next_attempts() {
+/// One server, and a call whose first attempt there was reset and has been set up there again.
+fn after_a_reset() -> (Rig, ConnId) {
     let one = r#"[{"name":"s-one","address":"10.1.0.1:5080","group":0,"status":"in_service","since_ms":0}]"#;
     let mut rig = Rig::new(&config(one));
     rig.all_up();
@@ -18,6 +17,13 @@
     let first = rig.set_up_of(7).expect("a set-up");
     rig.server_says(first, Message::release(call(7), Cause::TEMPORARY));
     rig.pass(500 * MS);
+    (rig, first)
+}
+
+/// Guards against a late word on an attempt that was given up, taken for one on the next.
+#[test]
+fn a_late_reply_is_not_the_next_attempts() {
+    let (mut rig, first) = after_a_reset();
     let second = rig.set_up_of(7).expect("another");
     assert_eq!(rig.set_ups(7), 2);
     assert_ne!(first, second, "never on the same connection again");
@@ -224,14 +230,7 @@
 
 #[test]
 fn the_end_of_a_call_counts_on_a_connection_that_an_earlier_attempt_was_on() {
-    let one = r#"[{"name":"s-one","address":"10.1.0.1:5080","group":0,"status":"in_service","since_ms":0}]"#;
-    let mut rig = Rig::new(&config(one));
-    rig.all_up();
-    rig.caller(1);
-    rig.says(1, set_up(7, "3000"));
-    let first = rig.set_up_of(7).expect("a set-up");
-    rig.server_says(first, Message::release(call(7), Cause::TEMPORARY));
-    rig.pass(500 * MS);
+    let (mut rig, first) = after_a_reset();
     let second = rig.set_up_of(7).expect("another");
     rig.server_says(second, answer(7));
     rig.server_says(first, Message::release(call(7), Cause::TEMPORARY));
