Front node read once more: one piece where the change had several, less on the hot path

Seen on reading the change from: - written again: three queues that age (past, unnamed, owed), now state/aged.rs; two writers of messages and the answer to a test, now Message::to_bytes and Message::tested; the engine's adopt() held a call and added an attempt as take() and send() do, now hold(), add_attempt() and Held::new(); causes turned into outcomes and back for ends not yet named. - in the wrong place: each partial read of a caller fired the engine's timers (coat/mod.rs, Said::Part to Input::Tick), before what had arrived was heard; callers' readers now say nothing of parts (line.rs, trait Key). Wrong: 'half a message' was logged as a fault of the name server. Checked and left: the pairs that are alike by shape alone (imports, error types, tables of names), and Output::Cut beside Output::Over, which owners with and without links need.

--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -386,15 +386,14 @@
             LinkState::Suspect => return self.not_sent(id, index, server, Outcome::Moot),
             LinkState::Down => return self.not_sent(id, index, server, Outcome::ConnectFailed),
         }
-        let attempt = AttemptId(self.next_attempt);
-        self.next_attempt += 1;
         held.sent += 1;
-        held.phase = Phase::Out(attempt);
         let (class, session) = (held.class, held.session.clone());
-        let record =
-            Attempt { call: id, index, server, class, sent_at: now, stage: Stage::Out, adopted: false };
-        self.attempts.insert(attempt, record);
-        self.by_server.entry(server).or_default().insert(attempt);
+        let stage = Stage::Out;
+        let attempt =
+            self.add_attempt(Attempt { call: id, index, server, class, sent_at: now, stage, adopted: false });
+        if let Some(held) = self.calls.get_mut(&id) {
+            held.phase = Phase::Out(attempt);
+        }
         self.timers.set(now.saturating_add(timeout), Timer::Attempt(attempt));
         self.counts.set_ups += 1;
         out.push(Output::SetUp { attempt, server, call: id, index, class, timeout, session, payload });
@@ -470,24 +469,12 @@
         let answer_by = self.now.saturating_add(offer.gives_up_in).saturating_sub(LAST_ANSWER).max(self.now);
         self.timers.set(answer_by, Timer::Deadline(id));
         *self.in_set_up.entry(offer.request.link).or_default() += 1;
-        self.by_owner.entry(offer.session.owner.clone()).or_default().insert(id);
-        self.sessions.insert(offer.session.clone(), id);
-        self.calls.insert(
-            id,
-            Held {
-                session: offer.session,
-                waiting: vec![offer.request],
-                phase: Phase::Deciding,
-                class: offer.class,
-                answer_by,
-                asked: 0,
-                sent: 0,
-                unsure_at: None,
-                held_back: 0,
-                payload: Some(offer.payload),
-                away_since: None,
-            },
-        );
+        let held = Held {
+            waiting: vec![offer.request],
+            payload: Some(offer.payload),
+            ..Held::new(offer.session, offer.class, Phase::Deciding, answer_by)
+        };
+        self.hold(id, held);
         self.events.push_back(Event::Call(Call {
             id,
             class: offer.class,
@@ -501,6 +488,13 @@
         }));
     }
 
+    /// A call is held from now on.
+    fn hold(&mut self, id: CallId, held: Held<P>) {
+        self.by_owner.entry(held.session.owner.clone()).or_default().insert(id);
+        self.sessions.insert(held.session.clone(), id);
+        self.calls.insert(id, held);
+    }
+
     fn new_call_id(&mut self) -> CallId {
         loop {
             let id = self.next_call as CallId;
@@ -791,31 +785,22 @@
             self.counts.bound += 1;
             return out.push(Output::Over { session, outcome: Outcome::Reset });
         }
-        let (call, attempt, now) = (self.new_call_id(), AttemptId(self.next_attempt), self.now);
-        self.next_attempt += 1;
+        let (call, now) = (self.new_call_id(), self.now);
         let stage = Stage::Standing;
-        let record = Attempt { call, index: 0, server, class, sent_at: now, stage, adopted: true };
-        self.attempts.insert(attempt, record);
-        self.by_server.entry(server).or_default().insert(attempt);
-        self.by_owner.entry(session.owner.clone()).or_default().insert(call);
-        self.sessions.insert(session.clone(), call);
-        let held = Held {
-            session: session.clone(),
-            waiting: Vec::new(),
-            phase: Phase::Standing(attempt),
-            class,
-            answer_by: now,
-            asked: 0,
-            sent: 0,
-            unsure_at: None,
-            held_back: 0,
-            payload: None,
-            away_since: None,
-        };
-        self.calls.insert(call, held);
+        let attempt =
+            self.add_attempt(Attempt { call, index: 0, server, class, sent_at: now, stage, adopted: true });
+        self.hold(call, Held::new(session.clone(), class, Phase::Standing(attempt), now));
         out.push(Output::Adopted { attempt, server, session });
     }
 
+    fn add_attempt(&mut self, attempt: Attempt) -> AttemptId {
+        let id = AttemptId(self.next_attempt);
+        self.next_attempt += 1;
+        self.by_server.entry(attempt.server).or_default().insert(id);
+        self.attempts.insert(id, attempt);
+        id
+    }
+
     fn remove_attempt(&mut self, id: AttemptId) -> Option<Attempt> {
         let attempt = self.attempts.remove(&id)?;
         if let Some(ids) = self.by_server.get_mut(&attempt.server) {
--- a/crates/call/src/held.rs
+++ b/crates/call/src/held.rs
@@ -42,6 +42,25 @@
     pub(crate) away_since: Option<Micros>,
 }
 
+impl<P> Held<P> {
+    /// A call without requests that wait, nor a payload.
+    pub(crate) fn new(session: Session, class: usize, phase: Phase, answer_by: Micros) -> Self {
+        Self {
+            session,
+            waiting: Vec::new(),
+            phase,
+            class,
+            answer_by,
+            asked: 0,
+            sent: 0,
+            unsure_at: None,
+            held_back: 0,
+            payload: None,
+            away_since: None,
+        }
+    }
+}
+
 /// Where an attempt is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Stage {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -76,19 +76,17 @@
         LogForm::Text => log.init(),
         LogForm::Json => log.json().init(),
     }
-    if matches!(args.command, Command::Node) {
-        return node::run();
-    }
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().into_diagnostic()?;
+    // Made where it is needed: a front node has one thread, and some commands wait for nothing.
+    let runtime = || tokio::runtime::Builder::new_multi_thread().enable_all().build().into_diagnostic();
     match args.command {
-        Command::Front { config } => runtime.block_on(front::run(&config)),
+        Command::Front { config } => runtime()?.block_on(front::run(&config)),
         Command::Node => node::run(),
         Command::Check { config } => front::check(&config),
-        Command::Demo(args) => runtime.block_on(demo::run(args)),
-        Command::Day(args) => runtime.block_on(day::run(args)),
+        Command::Demo(args) => runtime()?.block_on(demo::run(args)),
+        Command::Day(args) => runtime()?.block_on(day::run(args)),
         Command::Audit { record } => day::audit(&record),
-        Command::Trunks(args) => runtime.block_on(trunks::run(&args)),
-        Command::Circuits(args) => runtime.block_on(circuits::run(&args)),
+        Command::Trunks(args) => runtime()?.block_on(trunks::run(&args)),
+        Command::Circuits(args) => runtime()?.block_on(circuits::run(&args)),
     }
 }
 
--- a/crates/node/src/coat/line.rs
+++ b/crates/node/src/coat/line.rs
@@ -5,19 +5,51 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use baydrift_call::LinkId;
 use baydrift_platform::{Frames, Message};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, Notify};
 
-/// What a connection tells the core; `K` names it.
-#[derive(Debug)]
-pub(super) enum Said<K> {
+use super::ToCore;
+use crate::state::{ConnId, Input};
+
+/// A connection's name, and what its reader tells the core under it.
+pub(super) trait Key: Copy {
     /// A message has come.
-    Message(K, Message),
-    /// The rest of a message is missing still.
-    Part(K),
+    fn said(self, message: Message) -> Input;
+    /// The rest of a message is missing still; `None` where nobody asks.
+    fn part(self) -> Option<Input>;
     /// It has ended, or cannot be read any further.
-    Down(K),
+    fn down(self) -> Input;
+}
+
+impl Key for LinkId {
+    fn said(self, message: Message) -> Input {
+        Input::FromCaller(self, message)
+    }
+
+    /// A caller has until its connection must have been of use.
+    fn part(self) -> Option<Input> {
+        None
+    }
+
+    fn down(self) -> Input {
+        Input::CallerDown(self)
+    }
+}
+
+impl Key for ConnId {
+    fn said(self, message: Message) -> Input {
+        Input::FromServer(self, message)
+    }
+
+    fn part(self) -> Option<Input> {
+        Some(Input::Part(self))
+    }
+
+    fn down(self) -> Input {
+        Input::ServerDown(self)
+    }
 }
 
 /// Bytes read at once.
@@ -113,7 +145,7 @@
     }
 
     /// Reads until the connection ends or is closed. A full queue to the core holds the sender back.
-    pub(super) async fn read<K: Copy, T: From<Said<K>>>(self: Rc<Self>, key: K, core: mpsc::Sender<T>) {
+    pub(super) async fn read<K: Key>(self: Rc<Self>, key: K, core: mpsc::Sender<ToCore>) {
         let mut frames = Frames::default();
         'line: while !self.closed.get() {
             tokio::select! {
@@ -134,7 +166,7 @@
             loop {
                 match frames.take() {
                     Ok(Some(message)) => {
-                        if core.send(Said::Message(key, message).into()).await.is_err() || self.closed.get() {
+                        if core.send(ToCore::State(key.said(message))).await.is_err() || self.closed.get() {
                             break 'line;
                         }
                     }
@@ -145,12 +177,14 @@
                     }
                 }
             }
-            if frames.is_part() && core.send(Said::Part(key).into()).await.is_err() {
-                break;
+            if let Some(part) = key.part().filter(|_| frames.is_part()) {
+                if core.send(ToCore::State(part)).await.is_err() {
+                    break;
+                }
             }
         }
         self.closed.set(true);
-        let _ = core.send(Said::Down(key).into()).await;
+        let _ = core.send(ToCore::State(key.down())).await;
     }
 }
 
--- a/crates/node/src/coat/mod.rs
+++ b/crates/node/src/coat/mod.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
-use self::line::{Line, Said};
+use self::line::Line;
 use crate::config::{Config, ConfigError};
 use crate::state::{ConnId, Input, Node, Output};
 
@@ -60,27 +60,6 @@
     Reload,
 }
 
-impl From<Said<LinkId>> for ToCore {
-    fn from(said: Said<LinkId>) -> Self {
-        Self::State(match said {
-            Said::Message(link, message) => Input::FromCaller(link, message),
-            // A caller has until its connection must have been of use.
-            Said::Part(_) => Input::Tick,
-            Said::Down(link) => Input::CallerDown(link),
-        })
-    }
-}
-
-impl From<Said<ConnId>> for ToCore {
-    fn from(said: Said<ConnId>) -> Self {
-        Self::State(match said {
-            Said::Message(conn, message) => Input::FromServer(conn, message),
-            Said::Part(conn) => Input::Part(conn),
-            Said::Down(conn) => Input::ServerDown(conn),
-        })
-    }
-}
-
 /// Unix time that never goes back while the process lives.
 #[derive(Clone, Copy)]
 struct Clock {
@@ -123,11 +102,12 @@
     ended: bool,
 }
 
-/// Runs a front node until it is told to stop, on a current-thread runtime within a `LocalSet`.
+/// Runs the front node of this configuration file until it is told to stop, on a current-thread runtime within a `LocalSet`.
 ///
 /// # Errors
 /// When it cannot start; once it serves, nothing ends it but a signal.
-pub async fn run(config: Config, path: PathBuf) -> Result<(), StartError> {
+pub async fn run(path: PathBuf) -> Result<(), StartError> {
+    let config = Config::load(&path)?;
     let system = |what| move |e| StartError::System(what, e);
     let node = Node::new(&config)?;
     let (to_core, mut inputs) = mpsc::channel(QUEUE);
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,12 +1,13 @@
 //! What the platform tells a front node: the JSON file that `RELAY_CONFIG` names.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use baydrift::config::Wording;
 use baydrift::interface::{Micros, Settings};
 use baydrift_platform::{Fault, Fleet};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 /// Why a configuration cannot be used.
 #[derive(Debug, thiserror::Error)]
@@ -76,7 +77,7 @@
     peers: Vec<String>,
     names: String,
     known: serde_json::Value,
-    settings: serde_json::Value,
+    settings: Box<RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -103,19 +104,18 @@
         }
     }
 
-    /// Reads the file that `RELAY_CONFIG` names.
+    /// The file that `RELAY_CONFIG` names.
     ///
     /// # Errors
-    /// Names the variable or key that is missing or of no use.
-    pub fn from_environment() -> Result<Self, ConfigError> {
-        let path = std::env::var_os("RELAY_CONFIG").ok_or(ConfigError::Unnamed)?;
-        Self::load(Path::new(&path))
+    /// When the variable is not set.
+    pub fn path() -> Result<PathBuf, ConfigError> {
+        std::env::var_os("RELAY_CONFIG").map(PathBuf::from).ok_or(ConfigError::Unnamed)
     }
 
     /// Reads a file.
     ///
     /// # Errors
-    /// As [`Config::from_environment`].
+    /// Names the key that is missing or of no use.
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
         let unreadable = |e| ConfigError::Unreadable(path.display().to_string(), e);
         Self::read(&std::fs::read(path).map_err(unreadable)?)
@@ -124,7 +124,7 @@
     /// Reads the JSON text.
     ///
     /// # Errors
-    /// As [`Config::from_environment`].
+    /// As [`Config::load`].
     pub fn read(text: &[u8]) -> Result<Self, ConfigError> {
         let raw: Raw = serde_json::from_slice(text)?;
         let seed = u64::from_str_radix(&raw.seed, 16).map_err(|_| ConfigError::Key {
@@ -135,7 +135,7 @@
             let what = format!("{} are too few: {SOCKETS_LEAST} at least", raw.limits.sockets);
             return Err(ConfigError::Key { key: "limits.sockets", what });
         }
-        let (settings, wording) = baydrift::config::read(&serde_json::to_vec(&raw.settings)?)?;
+        let (settings, wording) = baydrift::config::read(raw.settings.get().as_bytes())?;
         settings.check()?;
         Ok(Self {
             name: raw.name,
--- a/crates/node/src/state/belief.rs
+++ b/crates/node/src/state/belief.rs
@@ -19,12 +19,23 @@
     ended: BTreeMap<(ServerId, &'static str), u32>,
 }
 
+/// Whether the log asks for beliefs.
+fn wanted() -> bool {
+    tracing::enabled!(tracing::Level::DEBUG)
+}
+
 impl Seen {
     pub(super) fn sent(&mut self, server: ServerId) {
+        if !wanted() {
+            return;
+        }
         *self.sent.entry(server).or_default() += 1;
     }
 
     pub(super) fn ended(&mut self, server: ServerId, how: Outcome) {
+        if !wanted() {
+            return;
+        }
         let name = match how {
             Outcome::Ok => "stands",
             Outcome::Error => "error",
@@ -42,13 +53,10 @@
 impl Node {
     /// One line a server and second, where the log asks for them.
     pub(super) fn tell_beliefs(&mut self) {
-        if self.now < self.belief.at + EVERY {
+        if !wanted() || self.now < self.belief.at + EVERY {
             return;
         }
         let seen = std::mem::replace(&mut self.belief, Seen { at: self.now, ..Seen::default() });
-        if !tracing::enabled!(tracing::Level::DEBUG) {
-            return;
-        }
         let now = self.now;
         let age_ms = |at: Micros| if at == 0 { -1 } else { (now.saturating_sub(at) / 1_000) as i64 };
         for belief in self.engine.beliefs() {
--- a/crates/node/src/state/callers.rs
+++ b/crates/node/src/state/callers.rs
@@ -2,7 +2,7 @@
 //!
 //! No connection owns a call that stands. A connection's open set-ups end with it, its standing calls do not.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 
 use baydrift::interface::{Micros, Outcome};
@@ -12,7 +12,8 @@
 use baydrift_platform::{Cause, Code, Fault, Id, Kind, Message};
 use bytes::Bytes;
 
-use super::{Caller, Node, Output, Payload};
+use super::aged::Aged;
+use super::{wire, Caller, Node, Output, Payload};
 
 /// A connection that has brought nothing of use by then is closed: callers connect to say something, and one that
 /// says nothing, half a message or only what means nothing here is owed a close within 3 s.
@@ -23,7 +24,7 @@
 /// into a small machine's memory: a usual one has some hundred bytes.
 const SET_UP_BYTES_MAX: usize = 6 << 20;
 /// Ends of calls that wait for a connection of their caller, and for how long: 8 s at most are allowed.
-const OWED: (usize, Micros) = (1_000, 7_000_000);
+pub(super) const OWED: (usize, Micros) = (1_000, 7_000_000);
 
 /// One caller's connection.
 #[derive(Debug)]
@@ -39,8 +40,7 @@
 }
 
 /// Ends of calls whose caller has no connection just now.
-#[derive(Debug, Default)]
-pub(super) struct Owed(VecDeque<(Micros, IpAddr, Id, u8)>);
+pub(super) type Owed = Aged<(IpAddr, Id, u8)>;
 
 impl Node {
     pub(super) fn caller_up(&mut self, link: LinkId, ip: IpAddr, out: &mut Vec<Output>) {
@@ -60,11 +60,7 @@
         let fresh =
             Link { ip, opened: self.now, open: BTreeSet::new(), standing: 0, useful: false, faults: 0 };
         self.links.insert(link, fresh);
-        let now = self.now;
-        self.owed.0.retain(|(at, ..)| now < at + OWED.1);
-        let owed: Vec<_> = self.owed.0.iter().filter(|(_, whose, ..)| *whose == ip).copied().collect();
-        self.owed.0.retain(|(_, whose, ..)| *whose != ip);
-        for (_, _, call, cause) in owed {
+        for (_, call, cause) in self.owed.take(self.now, |(whose, ..)| *whose == ip) {
             write(out, link, &Message::release(call, cause));
         }
     }
@@ -85,8 +81,7 @@
                 if let Some(link) = self.links.get_mut(&link) {
                     link.useful = true;
                 }
-                let tested = Message::new(Kind::Tested, message.call).with(Code::CAUSE, vec![Cause::PASSED]);
-                write(out, link, &tested);
+                write(out, link, &Message::tested(message.call));
             }
             Kind::Progress | Kind::Heard => {}
             // Only a front node or a signalling server sends these.
@@ -114,11 +109,12 @@
             if known == Some(Known::Standing) || known.is_none() {
                 self.stands_already(link, call);
             }
-            if let Some(cause) = self.servers.take_unnamed(server_id(at), call).filter(|_| known.is_none()) {
-                let outcome = if cause == Cause::NORMAL { Outcome::Ok } else { Outcome::Reset };
-                self.call_over(call, outcome, out);
-            } else if known.is_none() {
-                self.engine(Moment::Adopted { session, class, server: server_id(at) }, out);
+            let server = server_id(at);
+            let over = self.servers.take_unnamed(self.now, server, call);
+            match (known, over) {
+                (None, Some(outcome)) => self.call_over(call, outcome, out),
+                (None, None) => self.engine(Moment::Adopted { session, class, server }, out),
+                _ => {}
             }
             return Ok(());
         }
@@ -241,18 +237,13 @@
             return tracing::trace!("{call}: over, and nobody to tell");
         };
         let cause = if outcome == Outcome::Ok { Cause::NORMAL } else { Cause::TEMPORARY };
-        let near = |link: &super::callers::Link| Some(link.ip) == caller.ip;
+        let near = |link: &Link| Some(link.ip) == caller.ip;
         let own = self.links.contains_key(&caller.link).then_some(caller.link);
         let link = own.or_else(|| self.links.iter().rev().find(|(_, l)| near(l)).map(|(id, _)| *id));
         tracing::trace!("{call}: {outcome:?} told, own link {} now {link:?}", caller.link.0);
         match (link, caller.ip) {
             (Some(link), _) => write(out, link, &Message::release(call, cause)),
-            (None, Some(ip)) => {
-                if self.owed.0.len() >= OWED.0 {
-                    self.owed.0.pop_front();
-                }
-                self.owed.0.push_back((self.now, ip, call, cause));
-            }
+            (None, Some(ip)) => self.owed.put(self.now, (ip, call, cause)),
             (None, None) => {}
         }
     }
@@ -277,11 +268,6 @@
     }
 }
 
-/// Writes a message, which was made here and so is never too long but for a description that came too long.
-pub(super) fn write(out: &mut Vec<Output>, link: LinkId, message: &Message) {
-    let mut bytes = Vec::new();
-    match message.write(&mut bytes) {
-        Ok(()) => out.push(Output::ToCaller(link, bytes)),
-        Err(fault) => tracing::warn!("not written: {fault}"),
-    }
+fn write(out: &mut Vec<Output>, link: LinkId, message: &Message) {
+    out.extend(wire(message).map(|bytes| Output::ToCaller(link, bytes)));
 }
--- a/crates/node/src/state/mod.rs
+++ b/crates/node/src/state/mod.rs
@@ -4,6 +4,7 @@
 //! attempts on them, `names` the asking of the name server. All that is decided comes from the call engine and
 //! the module behind it; here it is only brought to the right connection.
 
+mod aged;
 mod belief;
 mod callers;
 mod names;
@@ -13,7 +14,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
-use baydrift::interface::{ListKind, Micros};
+use baydrift::interface::{ListKind, Micros, ServerId};
 use baydrift_call::{
     AttemptId, Engine, EngineError, Final, Input as Moment, Limits, LinkId, Output as Order, Session,
 };
@@ -102,9 +103,9 @@
 }
 
 /// A set-up on its way to a server, or standing there.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 struct Flight {
-    server: baydrift::interface::ServerId,
+    server: ServerId,
     call: Id,
     /// The connection that it was written on; `None` while it waits for one.
     conn: Option<ConnId>,
@@ -116,7 +117,7 @@
 }
 
 /// A set-up that waits for a connection.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 struct Unsent {
     payload: Payload,
     since: Micros,
@@ -133,16 +134,16 @@
 }
 
 /// Counts for the log.
-#[derive(Debug, Clone, Default)]
-pub struct Counts {
+#[derive(Debug, Default)]
+struct Counts {
     /// Set-ups refused since they cannot be used.
-    pub unusable: u64,
+    unusable: u64,
     /// Callers' connections closed by this node.
-    pub closed: u64,
+    closed: u64,
     /// Signalling servers' connections lost with set-ups on them.
-    pub broken: u64,
+    broken: u64,
     /// Processes of signalling servers taken for gone.
-    pub lost: u64,
+    lost: u64,
 }
 
 /// The front node.
@@ -201,7 +202,7 @@
             set_up_bytes: 0,
             links: BTreeMap::new(),
             links_max: config.sockets - bounds.kept_back(),
-            owed: callers::Owed::default(),
+            owed: callers::Owed::new(callers::OWED),
             flights: BTreeMap::new(),
             servers: servers::Servers::new(bounds),
             names: names::Names::new(config.seed),
@@ -262,11 +263,6 @@
         engine.min(self.looked_at + LOOK).min(self.names.due())
     }
 
-    /// Counts for the log: the engine's and the node's own.
-    pub fn counts(&self) -> (&baydrift_call::Counts, &Counts) {
-        (self.engine.counts(), &self.counts)
-    }
-
     /// What is held: callers' connections, signalling servers' connections, calls in set-up, calls that stand,
     /// answers remembered, timers.
     pub fn held(&self) -> [usize; 6] {
@@ -309,10 +305,9 @@
 
     /// The list has changed, or is told for the first time.
     fn told_list(&mut self, out: &mut Vec<Output>) {
-        let lines: Vec<_> = self.fleet.lines().cloned().collect();
         // The engine takes links as up: whether a server can be reached is told by each attempt's own end, as
         // the simulator does. A broken connection is not a drained server.
-        for server in self.servers.listed(self.now, &lines) {
+        for server in self.servers.listed(self.now, &self.fleet) {
             let state = baydrift_call::LinkState::Up(baydrift_call::Process::Same);
             self.engine(Moment::ServerLink { server, state }, out);
         }
@@ -381,6 +376,12 @@
     }
 }
 
+/// A message's bytes. It was made here, and so is never too long but for a description that came too long.
+fn wire(message: &Message) -> Option<Vec<u8>> {
+    let bytes = message.to_bytes();
+    bytes.inspect_err(|fault| tracing::warn!("{} is not written: {fault}", message.call)).ok()
+}
+
 /// The wire's id of a call that the engine names.
 fn id_of(session: &Session) -> Option<Id> {
     u64::from_str_radix(&session.id, 16).ok().map(|id| Id(id.to_be_bytes()))
--- a/crates/node/src/state/servers.rs
+++ b/crates/node/src/state/servers.rs
@@ -5,14 +5,16 @@
 //! given up is never taken for one on the next.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt::Display;
 use std::net::SocketAddr;
 
 use baydrift::interface::{Micros, Note, Outcome, Report, ServerId, ServerState};
 use baydrift_call::{AttemptEnd, AttemptId, Input as Moment};
 use baydrift_platform::list::server_id;
-use baydrift_platform::{report, Cause, Code, Fault, Id, Kind, Line, Message};
+use baydrift_platform::{report, Cause, Code, Fault, Fleet, Id, Kind, Message};
 
-use super::{Flight, Node, Output, Payload, Unsent};
+use super::aged::Aged;
+use super::{wire, Flight, Node, Output, Payload, Unsent};
 use crate::config::Config;
 
 /// Connections to a ready server at the least: one may break while the other serves.
@@ -70,7 +72,8 @@
     up: bool,
     /// Set-ups without their answer.
     open: BTreeMap<Id, AttemptId>,
-    past: VecDeque<(Micros, Id)>,
+    /// Calls that are over on it.
+    past: Aged<Id>,
     heard_at: Micros,
     tested_at: Option<Micros>,
     part_since: Option<Micros>,
@@ -78,14 +81,7 @@
 
 impl Conn {
     fn is_over(&self, call: Id) -> bool {
-        self.past.iter().any(|(_, past)| *past == call)
-    }
-
-    fn put_past(&mut self, now: Micros, call: Id) {
-        while self.past.len() >= PAST.0 || self.past.front().is_some_and(|(at, _)| now >= at + PAST.1) {
-            self.past.pop_front();
-        }
-        self.past.push_back((now, call));
+        self.past.any(|past| *past == call)
     }
 }
 
@@ -110,6 +106,16 @@
     renew: bool,
 }
 
+impl Server {
+    /// A release waits for the next connection.
+    fn owe(&mut self, call: Id) {
+        if self.owed.len() >= OWED_MAX {
+            self.owed.pop_front();
+        }
+        self.owed.push_back(call);
+    }
+}
+
 /// All signalling servers.
 #[derive(Debug)]
 pub(super) struct Servers {
@@ -119,7 +125,7 @@
     bounds: Bounds,
     restarted: Vec<(ServerId, Micros)>,
     /// Ends of calls that no caller has named here yet.
-    unnamed: VecDeque<(Micros, ServerId, Id, u8)>,
+    unnamed: Aged<(ServerId, Id, Outcome)>,
 }
 
 impl Servers {
@@ -130,7 +136,7 @@
             next_conn: 1,
             bounds,
             restarted: Vec::new(),
-            unnamed: VecDeque::new(),
+            unnamed: Aged::new(UNNAMED),
         }
     }
 
@@ -139,20 +145,14 @@
     }
 
     /// Takes the list; the servers that are new on it.
-    pub(super) fn listed(&mut self, now: Micros, lines: &[Line]) -> Vec<ServerId> {
+    pub(super) fn listed(&mut self, now: Micros, fleet: &Fleet) -> Vec<ServerId> {
         let mut fresh = Vec::new();
         for server in self.known.values_mut() {
             server.listed = None;
         }
-        for line in lines {
-            tracing::debug!(
-                "listed: {} {:x} {:?} {}",
-                line.name,
-                server_id(&line.name),
-                line.state,
-                line.address
-            );
+        for line in fleet.lines() {
             let id = server_id(&line.name);
+            tracing::debug!("listed: {} {id:x} {:?} {}", line.name, line.state, line.address);
             let server = self.known.entry(id).or_insert_with(|| {
                 fresh.push(id);
                 Server { started_at: line.started_at, down_since: Some(now), ..Server::default() }
@@ -167,7 +167,7 @@
         }
         // Guards against a new server at the address of one that is gone: whatever answers there now knows none of
         // the old one's calls, and a dial that succeeds proves nothing.
-        let taken: BTreeSet<_> = lines.iter().map(|line| line.address).collect();
+        let taken: BTreeSet<_> = fleet.lines().map(|line| line.address).collect();
         for (id, server) in self.known.iter_mut().filter(|(_, server)| server.listed.is_none()) {
             if server.address.is_some_and(|address| taken.contains(&address)) {
                 server.address = None;
@@ -189,19 +189,10 @@
         self.known.entry(server).or_insert_with(fresh).standing.insert(call, attempt);
     }
 
-    /// Remembers the end of a call that is not known here.
-    fn put_unnamed(&mut self, now: Micros, server: ServerId, call: Id, cause: u8) {
-        while self.unnamed.len() >= UNNAMED.0 || self.unnamed.front().is_some_and(|u| now >= u.0 + UNNAMED.1)
-        {
-            self.unnamed.pop_front();
-        }
-        self.unnamed.push_back((now, server, call, cause));
-    }
-
-    /// The end of a call that its caller names only now.
-    pub(super) fn take_unnamed(&mut self, server: ServerId, call: Id) -> Option<u8> {
-        let place = self.unnamed.iter().position(|(_, at, id, _)| (*at, *id) == (server, call))?;
-        self.unnamed.remove(place).map(|(.., cause)| cause)
+    /// How a call ended whose caller names it only now.
+    pub(super) fn take_unnamed(&mut self, now: Micros, server: ServerId, call: Id) -> Option<Outcome> {
+        let ends = self.unnamed.take(now, |(at, id, _)| (*at, *id) == (server, call));
+        ends.first().map(|(.., outcome)| *outcome)
     }
 
     /// Part of a message has come.
@@ -262,7 +253,7 @@
                 server: id,
                 up: false,
                 open: BTreeMap::new(),
-                past: VecDeque::new(),
+                past: Aged::new(PAST),
                 heard_at: now,
                 tested_at: None,
                 part_since: None,
@@ -327,11 +318,9 @@
             message = message.with(Code::NUMBER, number);
         }
         message = message.with(Code::DESCRIPTION, payload.description);
-        let mut bytes = Vec::new();
-        if let Err(fault) = message.write(&mut bytes) {
-            tracing::warn!("set-up {}: {fault}", flight.call);
-            return self.end(attempt, Outcome::Moot, Note::None, Report::default(), out);
-        }
+        let Some(bytes) = wire(&message) else {
+            return self.end(attempt, AttemptEnd::plain(Outcome::Moot), out);
+        };
         flight.conn = Some(conn);
         flight.at = self.now;
         tracing::trace!("{} at {:x}: set-up on {}", flight.call, flight.server, conn.0);
@@ -362,7 +351,7 @@
             let Some(conn) = home else { return };
             if let Some(conn) = self.servers.conns.get_mut(&conn) {
                 conn.open.remove(&call);
-                conn.put_past(self.now, call);
+                conn.past.put(self.now, call);
             }
             return write(out, conn, &Message::release(call, Cause::NORMAL));
         }
@@ -371,30 +360,18 @@
         known.standing.remove(&call);
         match any {
             Some(conn) => write(out, conn, &Message::release(call, Cause::NORMAL)),
-            None => {
-                if known.owed.len() >= OWED_MAX {
-                    known.owed.pop_front();
-                }
-                known.owed.push_back(call);
-            }
+            None => known.owe(call),
         }
     }
 
     /// An attempt has ended without standing.
-    fn end(
-        &mut self,
-        attempt: AttemptId,
-        outcome: Outcome,
-        note: Note,
-        report: Report,
-        out: &mut Vec<Output>,
-    ) {
+    fn end(&mut self, attempt: AttemptId, end: AttemptEnd, out: &mut Vec<Output>) {
         // Forgotten first: nothing is left at the server that a release would end.
         if let Some(flight) = self.flights.remove(&attempt) {
-            tracing::trace!("{} at {:x}: {outcome:?} {note:?}", flight.call, flight.server);
-            self.belief.ended(flight.server, outcome);
+            tracing::trace!("{} at {:x}: {:?} {:?}", flight.call, flight.server, end.outcome, end.note);
+            self.belief.ended(flight.server, end.outcome);
         }
-        self.engine(Moment::Ended { attempt, end: AttemptEnd { outcome, note, report } }, out);
+        self.engine(Moment::Ended { attempt, end }, out);
     }
 
     pub(super) fn server_up(&mut self, id: ConnId, out: &mut Vec<Output>) {
@@ -415,7 +392,7 @@
             if ready {
                 self.write_set_up(attempt, id, out);
             } else {
-                self.end(attempt, Outcome::Moot, Note::None, Report::default(), out);
+                self.end(attempt, AttemptEnd::plain(Outcome::Moot), out);
             }
         }
     }
@@ -432,7 +409,7 @@
             return;
         }
         for attempt in std::mem::take(&mut server.waiting) {
-            self.end(attempt, Outcome::ConnectFailed, Note::None, Report::default(), out);
+            self.end(attempt, AttemptEnd::plain(Outcome::ConnectFailed), out);
         }
         // Nothing runs where a connection is refused: the process is gone, with all its calls.
         if refused {
@@ -440,15 +417,16 @@
         }
     }
 
-    /// A server's calls from before a time are gone with their process.
-    pub(super) fn lose(&mut self, server: ServerId, before: Micros, out: &mut Vec<Output>) {
+    /// A server's calls from before a time are gone with their process; those that stood.
+    pub(super) fn lose(&mut self, server: ServerId, before: Micros, out: &mut Vec<Output>) -> Vec<Id> {
         let here = |flight: &Flight| flight.server == server && flight.unsent.is_none() && flight.at < before;
-        let gone: Vec<_> =
-            self.flights.iter().filter(|(_, f)| here(f)).map(|(id, f)| (*id, f.clone())).collect();
+        let gone: Vec<_> = self.flights.iter().filter(|(_, f)| here(f)).map(|(id, _)| *id).collect();
         self.counts.lost += u64::from(!gone.is_empty());
         tracing::debug!("{server:x}: its process is gone, with {} calls", gone.len());
-        for (attempt, flight) in gone {
-            self.flights.remove(&attempt);
+        let mut stood = Vec::new();
+        for attempt in gone {
+            let Some(flight) = self.flights.remove(&attempt) else { continue };
+            stood.extend(flight.stands.then_some(flight.call));
             if let Some(conn) = flight.conn.and_then(|conn| self.servers.conns.get_mut(&conn)) {
                 conn.open.remove(&flight.call);
             }
@@ -457,6 +435,7 @@
             }
             self.engine(Moment::Cut { attempt, report: Report::default() }, out);
         }
+        stood
     }
 
     /// A connection that was up has ended: what is open on it may have run. Calls that stand are not touched.
@@ -467,11 +446,11 @@
         // Dialled before what was open is placed again, so that it finds a connection.
         self.servers.dial(self.now, conn.server, false, out);
         for attempt in conn.open.into_values() {
-            self.end(attempt, Outcome::Reset, Note::None, Report::default(), out);
+            self.end(attempt, AttemptEnd::plain(Outcome::Reset), out);
         }
     }
 
-    fn broken(&mut self, id: ConnId, why: &Fault, out: &mut Vec<Output>) {
+    fn broken(&mut self, id: ConnId, why: &dyn Display, out: &mut Vec<Output>) {
         tracing::debug!("a signalling server's connection is closed: {why}");
         out.push(Output::CloseServer(id));
         self.server_down(id, out);
@@ -488,8 +467,7 @@
             Kind::Answer => self.stands(id, message, out),
             Kind::Release => self.ended(id, server, message, out),
             Kind::Test => {
-                let tested = Message::new(Kind::Tested, message.call).with(Code::CAUSE, vec![Cause::PASSED]);
-                write(out, id, &tested);
+                write(out, id, &Message::tested(message.call));
                 Ok(())
             }
             Kind::Progress | Kind::Heard | Kind::Tested => Ok(()),
@@ -542,7 +520,7 @@
         let Some(conn) = self.servers.conns.get_mut(&id) else { return Ok(()) };
         if let Some(attempt) = conn.open.remove(&call) {
             tracing::trace!("{call} at {server:x}: released with cause {cause} before its answer");
-            conn.put_past(self.now, call);
+            conn.past.put(self.now, call);
             if cause == Cause::NORMAL {
                 // Its answer was lost on the way, and this is the call's own end.
                 self.flights.remove(&attempt);
@@ -556,13 +534,14 @@
                 _ => Outcome::Reset,
             };
             let note = message.text(Code::NOTE)?.map_or(Note::None, note);
-            self.end(attempt, outcome, note, report, out);
+            self.end(attempt, AttemptEnd { outcome, note, report }, out);
         } else {
             let was_here = conn.is_over(call);
+            let outcome = if cause == Cause::NORMAL { Outcome::Ok } else { Outcome::Reset };
             let Some(known) = self.servers.known.get(&server) else { return Ok(()) };
             let Some(attempt) = known.standing.get(&call).copied() else {
                 if !was_here {
-                    self.servers.put_unnamed(self.now, server, call, cause);
+                    self.servers.unnamed.put(self.now, (server, call, outcome));
                 }
                 return Ok(());
             };
@@ -573,7 +552,7 @@
             );
             // A late word on an attempt that was given up here; one on the call would come by its own connection.
             // Only the end of one that stood is never meant for an attempt that did not.
-            let late = was_here && cause != Cause::NORMAL;
+            let late = was_here && outcome != Outcome::Ok;
             if late && home.is_some_and(|home| self.servers.conns.contains_key(&home)) {
                 return Ok(());
             }
@@ -581,8 +560,8 @@
             if let Some(known) = self.servers.known.get_mut(&server) {
                 known.standing.remove(&call);
             }
-            let moment = match cause {
-                Cause::NORMAL => Moment::Over { attempt, report },
+            let moment = match outcome {
+                Outcome::Ok => Moment::Over { attempt, report },
                 _ => Moment::Cut { attempt, report },
             };
             self.engine(moment, out);
@@ -608,7 +587,7 @@
             }
         }
         for (id, why) in broken {
-            self.broken(id, &Fault::Names(why), out);
+            self.broken(id, &why, out);
         }
     }
 
@@ -630,16 +609,13 @@
         let idle = server.listed.is_none() && server.standing.is_empty() && server.waiting.is_empty();
         let conns: Vec<_> = server.conns.iter().copied().collect();
         for attempt in late {
-            self.end(attempt, Outcome::ConnectFailed, Note::None, Report::default(), out);
+            self.end(attempt, AttemptEnd::plain(Outcome::ConnectFailed), out);
         }
         if down {
             // Cut off, or gone without a word. Should it come back, it is told what it may hold still.
-            let standing =
-                self.servers.known.get(&id).map(|server| server.standing.keys().copied().collect());
-            let standing: Vec<Id> = standing.unwrap_or_default();
-            self.lose(id, Micros::MAX, out);
+            let stood = self.lose(id, Micros::MAX, out);
             if let Some(server) = self.servers.known.get_mut(&id) {
-                server.owed.extend(standing.into_iter().take(OWED_MAX.saturating_sub(server.owed.len())));
+                stood.into_iter().for_each(|call| server.owe(call));
             }
         }
         let open = |conn: &ConnId| self.servers.conns.get(conn).is_some_and(|conn| !conn.open.is_empty());
@@ -668,9 +644,5 @@
 }
 
 fn write(out: &mut Vec<Output>, conn: ConnId, message: &Message) {
-    let mut bytes = Vec::new();
-    match message.write(&mut bytes) {
-        Ok(()) => out.push(Output::ToServer(conn, bytes)),
-        Err(fault) => tracing::warn!("not written: {fault}"),
-    }
+    out.extend(wire(message).map(|bytes| Output::ToServer(conn, bytes)));
 }
--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -139,6 +139,20 @@
         Self::new(Kind::Release, call).with(Code::CAUSE, vec![cause])
     }
 
+    /// The word that a connection works.
+    pub fn tested(call: Id) -> Self {
+        Self::new(Kind::Tested, call).with(Code::CAUSE, vec![Cause::PASSED])
+    }
+
+    /// The message's bytes.
+    ///
+    /// # Errors
+    /// As [`Message::write`].
+    pub fn to_bytes(&self) -> Result<Vec<u8>, Fault> {
+        let mut bytes = Vec::new();
+        self.write(&mut bytes).map(|()| bytes)
+    }
+
     /// The value of a parameter that may be there once.
     ///
     /// # Errors
--- a/crates/platform/src/names.rs
+++ b/crates/platform/src/names.rs
@@ -16,15 +16,18 @@
 /// The longest answer.
 pub const ANSWER_MAX: usize = 8_000;
 
+fn list_name() -> Result<Name, Fault> {
+    Name::from_str(LIST).map_err(|_| Fault::Names("no name to ask for"))
+}
+
 /// The query for the list.
 ///
 /// # Errors
 /// Never in practice: the name and the message are fixed but for the id.
 pub fn query(id: u16) -> Result<Vec<u8>, Fault> {
-    let name = Name::from_str(LIST).map_err(|_| Fault::Names("no name to ask for"))?;
     let mut message = Message::new();
     message.set_id(id).set_message_type(MessageType::Query).set_op_code(OpCode::Query);
-    message.add_query(Query::query(name, RecordType::SRV));
+    message.add_query(Query::query(list_name()?, RecordType::SRV));
     message.to_vec().map_err(|_| Fault::Names("the query cannot be written"))
 }
 
@@ -43,7 +46,7 @@
     if message.response_code() != ResponseCode::NoError {
         return Err(Fault::Names("reports a failure"));
     }
-    let list = Name::from_str(LIST).map_err(|_| Fault::Names("no name to ask for"))?;
+    let list = list_name()?;
     if message.queries().first().is_some_and(|query| !query.name().eq_ignore_root_case(&list)) {
         return Err(Fault::Names("is to another query"));
     }
