A signalling server's message is read whole before anything is changed by it

Seen on reading: an answer with a report that is no text, or a refusal with a note that is none, took the set-up off its connection first and was found unusable after; the connection closed, and nobody ended the set-up: its call waited for its time-out. Checked: a test of the three cases stands at one set-up for all of its time before the change, and at two after it. Lines: state/servers.rs, stands() and ended(). Change: report, cause and note are read before the connection's table is touched. Ruled out elsewhere: callers' set-ups are read whole before they count; lists before they are believed.

--- a/crates/node/src/state/servers.rs
+++ b/crates/node/src/state/servers.rs
@@ -486,7 +486,8 @@
     /// FIRST: a call stands. Only on the connection of its set-up; a second copy, or an answer to what nobody
     /// asked, means nothing.
     fn stands(&mut self, id: ConnId, message: &Message, out: &mut Vec<Output>) -> Result<(), Fault> {
-        let call = message.call;
+        // All is read before anything is changed: what cannot be read ends with its connection, whole.
+        let (call, report) = (message.call, self.report_of(message)?);
         let conn = self.servers.conns.get_mut(&id);
         let Some((conn, attempt)) = conn.and_then(|conn| conn.open.get(&call).copied().map(|a| (conn, a)))
         else {
@@ -495,7 +496,6 @@
         let description = message.must(Code::DESCRIPTION)?.clone();
         conn.open.remove(&call);
         let server = conn.server;
-        let report = self.report_of(message)?;
         if let Some(flight) = self.flights.get_mut(&attempt) {
             flight.stands = true;
         }
@@ -516,7 +516,9 @@
         message: &Message,
         out: &mut Vec<Output>,
     ) -> Result<(), Fault> {
+        // As above: all is read first.
         let (call, cause, report) = (message.call, message.cause()?, self.report_of(message)?);
+        let note = message.text(Code::NOTE)?.map_or(Note::None, note);
         let Some(conn) = self.servers.conns.get_mut(&id) else { return Ok(()) };
         if let Some(attempt) = conn.open.remove(&call) {
             tracing::trace!("{call} at {server:x}: released with cause {cause} before its answer");
@@ -533,7 +535,6 @@
                 Cause::TIMER => Outcome::Moot,
                 _ => Outcome::Reset,
             };
-            let note = message.text(Code::NOTE)?.map_or(Note::None, note);
             self.end(attempt, AttemptEnd { outcome, note, report }, out);
         } else {
             let was_here = conn.is_over(call);
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -71,6 +71,27 @@
     assert!(other.is_some());
 }
 
+/// Guards against a set-up that is taken off its connection before the rest of the message proves unusable: nobody
+/// would end it, and its call would wait for its time-out.
+#[test]
+fn a_report_or_a_note_that_is_no_text_breaks_the_connection_with_all_its_set_ups() {
+    let release = |cause| Message::release(call(7), cause);
+    let bad = [
+        answer(7).with(Code::REPORT, &[0xff][..]),
+        release(Cause::NO_CIRCUIT).with(Code::REPORT, &[0xff][..]),
+        release(Cause::NO_CIRCUIT).with(Code::NOTE, &[0xff][..]),
+    ];
+    for message in bad {
+        let mut rig = Rig::serving();
+        rig.says(1, set_up(7, "3000"));
+        let conn = rig.set_up_of(7).expect("a set-up");
+        rig.server_says(conn, message.clone());
+        assert_eq!(rig.closed_servers, [conn], "{message:?}");
+        rig.pass(400 * MS);
+        assert_eq!(rig.set_ups(7), 2, "reset, and set up again after the guard: {message:?}");
+    }
+}
+
 #[test]
 fn a_broken_connection_ends_no_standing_call_and_a_refused_one_ends_all() {
     let mut rig = Rig::serving();
