Stand-ins of the platform: one configuration, one list and one DNS answer for all tests

Seen on reading the change once more: the front node's configuration was written out in two tests, and the name server's answer in a test and in the stand-in (crates/node/tests/common, lists.rs; crates/cli/tests/node.rs; crates/standin/src/names.rs). Change: relay_config, Listed and list_answer of the stand-in serve them all; the stand-ins' messages use to_bytes and tested. Left: crates/platform/tests writes its own DNS answer, since the stand-in is built on that package and would only agree with itself.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -9,7 +9,9 @@
 
 use baydrift_audit::{rules, Recorder, Terms};
 use baydrift_platform::{Code, Id, Kind, Message};
-use baydrift_standin::{Listed, Manner, NameServer, PlatformCaller, PlatformServer, Told};
+use baydrift_standin::{
+    relay_config as config, Listed, Manner, NameServer, PlatformCaller, PlatformServer, Told,
+};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::process::Child;
@@ -26,32 +28,7 @@
 }
 
 fn listed(name: &str, server: &PlatformServer, number: u16) -> Listed {
-    Listed { name: name.to_owned(), addr: server.addr, number, drains: false }
-}
-
-fn config(names: SocketAddr, servers: &[Listed]) -> String {
-    let lines: Vec<_> = servers
-        .iter()
-        .map(|s| {
-            format!(
-                r#"{{"name":"{}","address":"{}","group":{},"status":"in_service","weight":1,"since_ms":0}}"#,
-                s.name, s.addr, s.number
-            )
-        })
-        .collect();
-    format!(
-        r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
-        "limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},"names":"{names}",
-        "known":{{"seq":1,"results":[{{"seq":1,"fleet":{{"index":1,"snapshot":true,"endpoints":[{}]}}}}]}},
-        "settings":{{"balancers":1,"ordinal":0,
-            "classes":[{{"name":"load","effect":"retryable","slo-s":2.0,"hard-limit-s":9.0,"late-value":0.25,"worth":1.0}}],
-            "tenants":[{{"name":"acme","quota-per-s":10000.0,"share":1.0}}],
-            "stats":{{"fields":["idle","circuits","lat_ms"],"how":"piggyback"}},
-            "family-info":{{"circuits-by-class":[1],"guard-s":0.3,"t1-s":0.5,"topology":"skills","skilled-pools":[[0,1,2]]}},
-            "policy-limits":{{"max-attempts":5,"cancelling":true,"dial-timeout-s":0.5,"max-open":20000}},
-            "rules":{{"cold-from":0.33,"fall-multiple":2.0,"fall-s":1.5,"ramp-time-s":13.0,"stop-sending-within-s":1.0}}}}}}"#,
-        lines.join(",")
-    )
+    Listed::ready(name, server.addr, number)
 }
 
 impl Node {
@@ -222,8 +199,7 @@
     let mut node = Node::start("node-bad", &config(names.addr, &list)).await;
     let good = PlatformCaller::connect(node.addr, recorder.clone()).await.expect("it listens");
     assert_eq!(offer(&good, 1..11).await, 10);
-    let mut no_id = Vec::new();
-    set_up(0).write(&mut no_id).expect("short");
+    let no_id = set_up(0).to_bytes().expect("short");
     let huge = [&[0x40, 0x00, 1][..], &vec![b'x'; 60_000_000]].concat();
     let sent: Vec<(&str, Vec<u8>)> = vec![
         ("nothing", vec![]),
--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -5,7 +5,7 @@
 use baydrift_call::LinkId;
 use baydrift_node::state::Input;
 use baydrift_platform::{Cause, Code, Kind, Message};
-use common::{answer, call, config, set_up, Rig, MS, SECOND, TWO};
+use common::{answer, call, config, one, set_up, two, Rig, MS, SECOND};
 
 #[test]
 fn a_set_up_passes_on_and_its_answer_comes_back_unchanged() {
@@ -197,7 +197,7 @@
 
 #[test]
 fn at_the_bound_of_descriptors_the_oldest_idle_connection_goes() {
-    let mut rig = Rig::new(&config(TWO));
+    let mut rig = Rig::new(&config(&[one(), two()]));
     rig.all_up();
     rig.caller(1);
     rig.standing(7);
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -10,34 +10,25 @@
 use baydrift_node::state::{ConnId, Input, Node, Output};
 use baydrift_node::Config;
 use baydrift_platform::{Code, Frames, Id, Kind, Message};
+use baydrift_standin::{relay_config, Listed};
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
-/// Two servers, ready for long.
-pub const TWO: &str = r#"[
-    {"name":"s-one","address":"10.1.0.1:5080","zone":"east","type":"std","group":0,"status":"in_service","weight":1,"since_ms":0},
-    {"name":"s-two","address":"10.1.0.2:5080","zone":"east","type":"std","group":1,"status":"in_service","weight":1,"since_ms":0}]"#;
-
-/// A configuration as the platform writes it, with these servers and so many descriptors.
-pub fn config_text(endpoints: &str, sockets: usize) -> String {
-    format!(
-        r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
-        "limits":{{"cores":1.0,"memory_mb":32,"sockets":{sockets}}},
-        "peer_listen":"127.0.0.1:0","peers":["127.0.0.1:9"],"names":"127.0.0.1:9",
-        "known":{{"seq":1,"results":[{{"seq":1,"fleet":{{"index":1,"snapshot":true,"endpoints":{endpoints}}}}}]}},
-        "settings":{{"balancers":1,"ordinal":0,
-            "classes":[{{"name":"load","effect":"retryable","slo-s":2.0,"hard-limit-s":9.0,"late-value":0.25,"worth":1.0}},
-                       {{"name":"check","effect":"retryable","slo-s":1.5,"hard-limit-s":9.0,"late-value":0.25,"worth":2.0}}],
-            "tenants":[{{"name":"acme","quota-per-s":1000.0,"share":1.0}}],
-            "stats":{{"fields":["idle","circuits","lat_ms"],"how":"piggyback"}},
-            "family-info":{{"circuits-by-class":[1,1],"guard-s":0.3,"t1-s":0.5,"topology":"skills","skilled-pools":[[0,1],[0,1]]}},
-            "policy-limits":{{"max-attempts":5,"cancelling":true,"peers":false,"probes":false,"dial-timeout-s":0.5,"max-open":20000}},
-            "rules":{{"cold-from":0.33,"fall-multiple":2.0,"fall-s":1.5,"ramp-time-s":13.0,"stop-sending-within-s":1.0}}}}}}"#
-    )
+
+/// Server one: ready for long.
+pub fn one() -> Listed {
+    Listed::ready("s-one", ([10, 1, 0, 1], 5080).into(), 0)
+}
+
+/// Server two: the same.
+pub fn two() -> Listed {
+    Listed::ready("s-two", ([10, 1, 0, 2], 5080).into(), 1)
 }
 
-pub fn config(endpoints: &str) -> Config {
-    Config::read(config_text(endpoints, 256).as_bytes()).expect("the test's configuration")
+/// A configuration with these servers.
+pub fn config(servers: &[Listed]) -> Config {
+    let text = relay_config(([127, 0, 0, 1], 9).into(), servers);
+    Config::read(text.as_bytes()).expect("the test's configuration")
 }
 
 /// What a caller offers.
@@ -99,7 +90,7 @@
 
     /// One with all its connections up and a caller at link 1.
     pub fn serving() -> Self {
-        let mut rig = Self::new(&config(TWO));
+        let mut rig = Self::new(&config(&[one(), two()]));
         rig.all_up();
         rig.caller(1);
         rig
--- a/crates/node/tests/lists.rs
+++ b/crates/node/tests/lists.rs
@@ -2,40 +2,19 @@
 
 mod common;
 
-use std::str::FromStr;
-
 use baydrift_node::state::{ConnId, Input};
-use baydrift_platform::{names, Cause, Kind, Message as Call};
-use common::{call, config, set_up, Rig, MS, SECOND, TWO};
-use hickory_proto::op::{Message, MessageType, Query};
-use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
-use hickory_proto::rr::{Name, RData, Record, RecordType};
-
-/// A server on the list: id, last part of its address, number, priority, when it started in Unix milliseconds.
-type Listed = (&'static str, u8, u8, u16, u64);
-
-const ONE: Listed = ("s-one", 1, 0, 0, 0);
-const OTHER: Listed = ("s-two", 2, 1, 0, 0);
+use baydrift_platform::{Cause, Kind, Message as Call};
+use baydrift_standin::{list_answer, Listed};
+use common::{call, config, one, set_up, two, Rig, MS, SECOND};
 
 /// The answer to the node's last question.
 fn answer(rig: &Rig, serial: u32, servers: &[Listed]) -> Vec<u8> {
-    let query = rig.asked.last().expect("it asks");
-    let name = |text: &str| Name::from_str(text).expect("a name");
-    let list = name(names::LIST);
-    let mut message = Message::new();
-    message.set_id(u16::from_be_bytes([query[0], query[1]])).set_message_type(MessageType::Response);
-    message.add_query(Query::query(list.clone(), RecordType::SRV));
-    for (id, ip, number, priority, started) in servers {
-        let host = name(&format!("{id}.east.hosts."));
-        let srv = SRV::new(*priority, 10, 5080, host.clone());
-        message.add_answer(Record::from_rdata(list.clone(), 0, RData::SRV(srv)));
-        message.add_additional(Record::from_rdata(host.clone(), 0, RData::A(A::new(10, 1, 0, *ip))));
-        let txt = TXT::new(vec!["kind=std".into(), format!("cell={number}"), format!("started={started}")]);
-        message.add_additional(Record::from_rdata(host, 0, RData::TXT(txt)));
-    }
-    let soa = SOA::new(list.clone(), list.clone(), serial, 1, 1, 1, 1);
-    message.add_name_server(Record::from_rdata(list, 0, RData::SOA(soa)));
-    message.to_vec().expect("writable")
+    list_answer(rig.asked.last().expect("it asks"), serial, servers).expect("it is a query")
+}
+
+/// The same server, draining.
+fn draining(server: Listed) -> Listed {
+    Listed { drains: true, ..server }
 }
 
 fn tell(rig: &mut Rig, serial: u32, servers: &[Listed]) {
@@ -51,7 +30,7 @@
     assert!((4..=8).contains(&rig.asked.len()), "{}", rig.asked.len());
     let before = rig.asked.len();
     for serial in 2..7 {
-        tell(&mut rig, serial, &[ONE, OTHER]);
+        tell(&mut rig, serial, &[one(), two()]);
     }
     assert!(rig.asked.len() >= before + 5);
 }
@@ -59,7 +38,7 @@
 #[test]
 fn a_draining_server_gets_nothing_new_once_that_is_told() {
     let mut rig = Rig::serving();
-    tell(&mut rig, 2, &[("s-one", 1, 0, 1, 0), OTHER]);
+    tell(&mut rig, 2, &[draining(one()), two()]);
     for id in 1..=20 {
         rig.says(1, set_up(id, "3000"));
         let conn = rig.set_up_of(id).expect("a set-up");
@@ -73,7 +52,7 @@
 #[test]
 fn what_is_no_newer_list_changes_nothing() {
     let mut rig = Rig::serving();
-    tell(&mut rig, 5, &[ONE, OTHER]);
+    tell(&mut rig, 5, &[one(), two()]);
     tell(&mut rig, 4, &[]);
     tell(&mut rig, 5, &[]);
     rig.pass(300 * MS);
@@ -94,15 +73,15 @@
 fn a_server_whose_address_another_one_has_is_gone_with_its_calls() {
     let mut rig = Rig::serving();
     let conn = rig.standing(7);
-    let (name, ip) = if rig.to_one().contains(&conn) { ("s-two", 2) } else { ("s-one", 1) };
-    let left = (name, ip, ip - 1, 0, 0);
+    let (gone, left) = if rig.to_one().contains(&conn) { (one(), two()) } else { (two(), one()) };
+    let new = Listed { name: "s-new".to_owned(), ..gone };
     // All its connections break, and what answers at its address now is the new one.
     for conn in (1..=9).map(ConnId) {
         rig.hear(Input::ServerDown(conn));
     }
     rig.all_up();
     assert_eq!(rig.told(7).len(), 1);
-    tell(&mut rig, 2, &[left, ("s-new", 3 - ip, 2 - ip, 0, 0)]);
+    tell(&mut rig, 2, &[left, new]);
     assert_eq!(rig.told(7).last(), Some(&(1, Kind::Release, Some(Cause::TEMPORARY))));
 }
 
@@ -110,8 +89,8 @@
 fn a_server_that_is_gone_ends_its_calls_once_it_cannot_be_reached() {
     let mut rig = Rig::serving();
     let conn = rig.standing(7);
-    let left: &[Listed] = if rig.to_one().contains(&conn) { &[OTHER] } else { &[ONE] };
-    tell(&mut rig, 2, left);
+    let left = if rig.to_one().contains(&conn) { two() } else { one() };
+    tell(&mut rig, 2, &[left]);
     assert_eq!(rig.told(7).len(), 1, "it may finish what it has");
     for conn in (1..=9).map(ConnId) {
         rig.hear(Input::ServerDown(conn));
@@ -125,12 +104,12 @@
 fn a_restart_that_the_list_tells_ends_the_calls_from_before() {
     let mut rig = Rig::serving();
     let conn = rig.standing(7);
-    let one = rig.to_one().contains(&conn);
+    let at_one = rig.to_one().contains(&conn);
     rig.pass(SECOND);
     let started_ms = rig.now / 1_000;
     rig.pass(SECOND);
-    let at = |listed: Listed, since| (listed.0, listed.1, listed.2, listed.3, since);
-    let list = if one { [at(ONE, started_ms), OTHER] } else { [ONE, at(OTHER, started_ms)] };
+    let since = |server: Listed| Listed { started_ms, ..server };
+    let list = if at_one { [since(one()), two()] } else { [one(), since(two())] };
     rig.all_up();
     tell(&mut rig, 2, &list);
     assert_eq!(rig.told(7).last(), Some(&(1, Kind::Release, Some(Cause::TEMPORARY))));
@@ -139,10 +118,10 @@
 /// Rule 3 is checked again at the moment of writing.
 #[test]
 fn a_set_up_that_waits_for_a_connection_is_not_written_after_a_drain_was_told() {
-    let mut rig = Rig::new(&config(TWO));
+    let mut rig = Rig::new(&config(&[one(), two()]));
     rig.caller(1);
     rig.says(1, set_up(7, "3000"));
-    let bytes = answer(&rig, 2, &[("s-one", 1, 0, 1, 0), ("s-two", 2, 1, 1, 0)]);
+    let bytes = answer(&rig, 2, &[draining(one()), draining(two())]);
     rig.hear(Input::Names(bytes));
     rig.all_up();
     rig.pass(SECOND);
@@ -153,7 +132,7 @@
 #[test]
 fn a_name_server_at_another_address_is_asked_at_once() {
     let mut rig = Rig::serving();
-    tell(&mut rig, 2, &[ONE, OTHER]);
+    tell(&mut rig, 2, &[one(), two()]);
     let (asked, stale) = (rig.asked.len(), answer(&rig, 3, &[]));
     rig.hear(Input::Moved);
     rig.hear(Input::Tick);
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -5,12 +5,11 @@
 use baydrift_call::LinkId;
 use baydrift_node::state::{ConnId, Input};
 use baydrift_platform::{Cause, Code, Id, Kind, Message};
-use common::{answer, call, config, set_up, Rig, MS, SECOND, TWO};
+use common::{answer, call, config, one, set_up, two, Rig, MS, SECOND};
 
 /// One server, and a call whose first attempt there was reset and has been set up there again.
 fn after_a_reset() -> (Rig, ConnId) {
-    let one = r#"[{"name":"s-one","address":"10.1.0.1:5080","group":0,"status":"in_service","since_ms":0}]"#;
-    let mut rig = Rig::new(&config(one));
+    let mut rig = Rig::new(&config(&[one()]));
     rig.all_up();
     rig.caller(1);
     rig.says(1, set_up(7, "3000"));
@@ -116,7 +115,7 @@
 /// A set-up that never left is told apart from one that may have run.
 #[test]
 fn a_set_up_waits_for_a_connection_and_goes_elsewhere_when_refused() {
-    let mut rig = Rig::new(&config(TWO));
+    let mut rig = Rig::new(&config(&[one(), two()]));
     rig.caller(1);
     rig.says(1, set_up(7, "3000"));
     assert_eq!(rig.set_ups(7), 0);
@@ -133,7 +132,7 @@
 
 #[test]
 fn nothing_is_written_on_a_connection_that_comes_up_after_the_call_was_given_up() {
-    let mut rig = Rig::new(&config(TWO));
+    let mut rig = Rig::new(&config(&[one(), two()]));
     rig.caller(1);
     rig.says(1, set_up(7, "3000"));
     rig.says(1, Message::release(call(7), Cause::NORMAL));
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,7 +17,7 @@
 pub use far_end::FarEnd;
 pub use link::{Datagrams, Link, Watched};
 pub use list::push;
-pub use names::{Listed, NameServer};
+pub use names::{list_answer, relay_config, Listed, NameServer};
 pub use packets::Packets;
 pub use platform::{Manner, PlatformCaller, PlatformServer, Told};
 pub use server::Server;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -142,10 +142,7 @@
                 line = lines.recv() => {
                     let bytes = match line {
                         Some(Line::Say(message)) => {
-                            let mut bytes = Vec::new();
-                            if message.write(&mut bytes).is_err() {
-                                break;
-                            }
+                            let Ok(bytes) = message.to_bytes() else { break };
                             if message.kind == Kind::Answer {
                                 // One that was released meanwhile is not answered any more.
                                 if !open.remove(&message.call) {
@@ -203,7 +200,7 @@
                 lock(&self.standing).remove(&call);
                 self.put(Moment::Release { server, attempt: self.attempt(id, call) });
             }
-            Kind::Test => say(Message::new(Kind::Tested, call).with(Code::CAUSE, vec![Cause::PASSED])),
+            Kind::Test => say(Message::tested(call)),
             _ => {}
         }
     }
@@ -310,8 +307,7 @@
             hot: false,
             gives_up_us: wait.as_micros() as u64,
         });
-        let mut bytes = Vec::new();
-        if set_up.write(&mut bytes).is_ok() {
+        if let Ok(bytes) = set_up.to_bytes() {
             self.send(bytes);
         }
         (answered, ended)
