--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -13,7 +13,7 @@
 mod verdict;
 
 pub use loss::REPLY_GAP;
-pub use record::{read_record, write_record, Line, Moment, RecordError, Recorder};
+pub use record::{monotonic, read_record, write_record, Line, Moment, RecordError, Recorder};
 pub use rules::{rules, Terms, SLACK};
 pub use service::{service, ClassTerms, Latency, Service, Shares};
 pub use verdict::{Breach, Excuse, Verdict};
--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -1,8 +1,7 @@
 //! The record: one line of JSON for each moment.
 
 use std::io::{BufRead, Write};
-use std::sync::Mutex;
-use std::time::Instant;
+use std::sync::{Mutex, PoisonError};
 
 use serde::{Deserialize, Serialize};
 
@@ -79,37 +78,90 @@
     End,
     /// A front's process is killed.
     Killed { front: u32 },
+    /// A front's process serves, after one that was killed or told to end.
+    Started { front: u32 },
+    /// A set-up, or a release, entered a way to a server that holds what it carries; read there later.
+    Sent { server: u16, attempt: String, release: bool },
+}
+
+/// The machine's monotonic clock, in microseconds: the same for all its processes, whatever their own clocks say.
+pub fn monotonic() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+    now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1_000
+}
+
+/// Who takes lines out of a process as they come.
+type Tap = Box<dyn FnMut(&Line) + Send>;
+
+/// Where a recorder's lines go.
+enum Kept {
+    Here(Vec<Line>),
+    Told(Tap),
 }
 
 /// Collects lines from all stand-ins of a run, with one clock.
-#[derive(Debug)]
 pub struct Recorder {
-    start: Instant,
-    lines: Mutex<Vec<Line>>,
+    origin: u64,
+    kept: Mutex<Kept>,
+}
+
+impl std::fmt::Debug for Recorder {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Recorder").field("origin", &self.origin).finish_non_exhaustive()
+    }
 }
 
 impl Default for Recorder {
     fn default() -> Self {
-        Self { start: Instant::now(), lines: Mutex::default() }
+        Self { origin: monotonic(), kept: Mutex::new(Kept::Here(Vec::new())) }
     }
 }
 
 impl Recorder {
+    /// One of a process whose lines another one keeps: `tap` hears each as it is put, before what it tells of goes
+    /// on. Guards against a record that a killed process takes with it.
+    pub fn told(origin: u64, tap: impl FnMut(&Line) + Send + 'static) -> Self {
+        Self { origin, kept: Mutex::new(Kept::Told(Box::new(tap))) }
+    }
+
+    /// The moment of [`monotonic`] that its times count from.
+    pub fn origin(&self) -> u64 {
+        self.origin
+    }
+
     /// Microseconds since the record began.
     pub fn now(&self) -> u64 {
-        self.start.elapsed().as_micros() as u64
+        monotonic().saturating_sub(self.origin)
     }
 
     /// Adds a moment, now.
     pub fn put(&self, moment: Moment) {
-        let mut lines = self.lines.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
         // The clock is read under the lock: lines are in order of time.
-        lines.push(Line { at: self.now(), moment });
+        let line = Line { at: self.now(), moment };
+        match &mut *kept {
+            Kept::Here(lines) => lines.push(line),
+            Kept::Told(tap) => tap(&line),
+        }
+    }
+
+    /// Adds a line that another process put, by the same clock.
+    pub fn add(&self, line: Line) {
+        match &mut *self.kept.lock().unwrap_or_else(PoisonError::into_inner) {
+            Kept::Here(lines) => lines.push(line),
+            Kept::Told(tap) => tap(&line),
+        }
     }
 
-    /// All lines so far.
+    /// All lines so far, in order of time; none where they are told elsewhere.
     pub fn lines(&self) -> Vec<Line> {
-        self.lines.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+        let mut lines = match &*self.kept.lock().unwrap_or_else(PoisonError::into_inner) {
+            Kept::Here(lines) => lines.clone(),
+            Kept::Told(_) => Vec::new(),
+        };
+        // Stable: what one process put in one microsecond stays in its order.
+        lines.sort_by_key(|line| line.at);
+        lines
     }
 }
 
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -7,7 +7,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use baydrift_audit::{read_record, rules, write_record, Terms};
-use baydrift_day::{Day, Outcome, Policy};
+use baydrift_day::{Day, Outcome, Policy, Program};
 use indicatif::{ProgressBar, ProgressStyle};
 use miette::{IntoDiagnostic, WrapErr};
 
@@ -46,8 +46,15 @@
     /// Plays it in virtual time, without sockets: the same seed gives the same record, to the byte.
     #[arg(long = "virtual")]
     in_virtual_time: bool,
-    /// Plays so many seeds, from the day's own on, on all cores; only with --virtual.
-    #[arg(long, requires = "in_virtual_time", default_value_t = 1)]
+    /// Plays it with each front, each server and the list service as a process of its own, and a net with faults
+    /// between them.
+    #[arg(long, conflicts_with = "in_virtual_time")]
+    processes: bool,
+    /// Folder for the processes' logs and configurations; without it one that is removed where all went well.
+    #[arg(long, requires = "processes")]
+    logs: Option<PathBuf>,
+    /// Plays so many seeds, from the day's own on, on all cores; with --virtual or --processes.
+    #[arg(long, default_value_t = 1)]
     seeds: u64,
     /// Troubles drawn by the seed instead of the script's.
     #[arg(long)]
@@ -101,6 +108,7 @@
         (args.heeds, "--heeds"),
         (args.drawn, "--drawn"),
         (args.in_virtual_time, "--virtual"),
+        (args.processes, "--processes"),
     ];
     words.extend(flags.iter().filter(|(set, _)| *set).map(|(_, word)| (*word).to_owned()));
     words.push(format!("--seed {}", day.seed));
@@ -242,8 +250,16 @@
             tracing::info!(at, what, "trouble");
         }
     };
+    let logs = logs(&args)?;
     let outcome = if args.in_virtual_time {
         baydrift_day::run_virtual(&day, progress)
+    } else if let Some(logs) = &logs {
+        let program = Program {
+            path: std::env::current_exe().into_diagnostic()?,
+            logs: logs.clone(),
+            log_level: "warn".to_owned(),
+        };
+        baydrift_day::run_processes(&day, program, progress).await
     } else {
         baydrift_day::run(&day, progress).await
     };
@@ -267,7 +283,36 @@
             println!("  front {front} held back {held:?}");
         }
     }
-    Ok(if outcome.verdict.kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    outcome.crashed.iter().for_each(|what| println!("  {what}"));
+    let good = outcome.verdict.kept() && outcome.crashed.is_empty();
+    match logs.filter(|_| args.logs.is_none()) {
+        Some(logs) if good => std::fs::remove_dir_all(&logs).into_diagnostic()?,
+        Some(logs) => println!("  the processes' logs and configurations are in {}", logs.display()),
+        None => {}
+    }
+    Ok(if good { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// Where the processes of this day write, if it has any.
+fn logs(args: &Args) -> miette::Result<Option<PathBuf>> {
+    if !args.processes {
+        return Ok(None);
+    }
+    let own = || std::env::temp_dir().join(format!("baydrift-day-{}", std::process::id()));
+    let logs = args.logs.clone().unwrap_or_else(own);
+    std::fs::create_dir_all(&logs).into_diagnostic().wrap_err_with(|| logs.display().to_string())?;
+    Ok(Some(logs))
+}
+
+/// Plays one part of a day as a process, as the driver of the day tells it.
+pub async fn stand_in() -> miette::Result<ExitCode> {
+    Ok(match baydrift_day::play_role().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("baydrift stand-in: {error}");
+            ExitCode::from(2)
+        }
+    })
 }
 
 pub fn audit(path: &Path) -> miette::Result<ExitCode> {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -28,6 +28,9 @@
     /// What is logged: error, warn, info, debug, or a filter such as "baydrift_desk=debug".
     #[arg(long, global = true, default_value = "warn")]
     log_level: String,
+    /// Ends with the process of this id, which started it.
+    #[arg(long, global = true, hide = true)]
+    tied: Option<u32>,
     #[command(subcommand)]
     command: Command,
 }
@@ -64,12 +67,18 @@
     /// Two exchanges and their trunk groups in virtual time: glare, lost signals, audits; exit code 1 if a circuit
     /// stays busy or a call ends twice.
     Trunks(trunks::Args),
+    /// One stand-in of a day as a process: what it plays comes on standard input.
+    #[command(hide = true)]
+    StandIn,
     /// The trunk groups of a running front: what circuits are used for, for how long, and the last audit.
     Circuits(circuits::Args),
 }
 
 fn main() -> miette::Result<ExitCode> {
     let args = Args::parse();
+    if !args.tied.is_none_or(tie) {
+        return Ok(ExitCode::FAILURE);
+    }
     let filter = EnvFilter::try_new(&args.log_level).into_diagnostic().wrap_err("--log-level")?;
     let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
     match args.log {
@@ -86,10 +95,19 @@
         Command::Day(args) => runtime()?.block_on(day::run(args)),
         Command::Audit { record } => day::audit(&record),
         Command::Trunks(args) => runtime()?.block_on(trunks::run(&args)),
+        Command::StandIn => runtime()?.block_on(day::stand_in()),
         Command::Circuits(args) => runtime()?.block_on(circuits::run(&args)),
     }
 }
 
+/// Asks the system to end this process with the one that started it; `false` where that one is gone already. Guards
+/// against processes that a killed driver leaves behind.
+fn tie(to: u32) -> bool {
+    use rustix::process::{getppid, set_parent_process_death_signal, Signal};
+    let tied = set_parent_process_death_signal(Some(Signal::KILL)).is_ok();
+    tied && getppid().is_some_and(|parent| parent.as_raw_nonzero().get() == to as i32)
+}
+
 /// A file's text, with its name in the error.
 fn read(path: &std::path::Path) -> miette::Result<String> {
     std::fs::read_to_string(path)
--- a/crates/day/src/course.rs
+++ b/crates/day/src/course.rs
@@ -5,12 +5,22 @@
 use baydrift::interface::Micros;
 use baydrift_audit::Moment;
 use baydrift_emulator::{Command, Fault, Offers};
+use serde::{Deserialize, Serialize};
 
 use crate::cast::usual;
-use crate::script::{Day, Trouble, What};
+use crate::script::{Day, Party, Trouble, What};
 
 /// What servers the list service knows, and since when; it reaches fronts later.
-pub(crate) type Pool = Vec<(&'static str, Option<Micros>)>;
+pub(crate) type Pool = Vec<(Listed, Option<Micros>)>;
+
+/// What a list says of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum Listed {
+    Ready,
+    Draining,
+    Gone,
+}
 
 /// Who carries troubles out.
 pub(crate) trait Hands {
@@ -28,13 +38,30 @@
     fn list(&mut self, due: Micros, pool: &Pool);
     /// Something is put on record.
     fn record(&mut self, moment: Moment);
+    /// A trouble that only processes have. Whoever has none refused the day before it began.
+    fn process(&mut self, _trouble: Process) {}
+}
+
+/// Troubles of processes and of the net between them.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Process {
+    /// A front's process is killed, or told to end; another starts after that, if at all.
+    Stop { front: usize, kill: bool, back_after: Option<Micros> },
+    /// A front is killed so many times soon after it served.
+    Crash { front: usize, times: u32 },
+    /// A server's process is stopped, or goes on.
+    Freeze { server: usize, frozen: bool },
+    /// A way between two, by its direction, passes nothing, or passes again what it held.
+    Sever { from: Party, to: Party, severed: bool },
+    /// All of a server's connections are reset.
+    Reset { server: usize },
 }
 
 /// What is still to be done.
 enum Then {
     Begin(Trouble),
     End(What),
-    Listed(usize, &'static str, bool),
+    Listed(usize, Listed, bool),
 }
 
 /// A day under way.
@@ -48,6 +75,8 @@
     link_delay: Micros,
     usual: Offers,
     offers: Vec<Offers>,
+    /// How many troubles sever a way now.
+    severed: BTreeMap<(Party, Party), usize>,
 }
 
 impl Course {
@@ -60,11 +89,12 @@
             order: day.troubles.len(),
             begin,
             end: begin + (day.seconds * 1e6) as Micros,
-            pool: vec![("ready", None); day.servers.rates.len()],
+            pool: vec![(Listed::Ready, None); day.servers.rates.len()],
             lag: day.list_lag,
             link_delay: day.servers.link_delay,
             offers: vec![usual.clone(); day.fronts as usize],
             usual,
+            severed: BTreeMap::new(),
         }
     }
 
@@ -113,18 +143,18 @@
                 let (by_dpr, back_after) = (*by_dpr, *back_after);
                 hands.command(*server, Command::Drain { by_dpr, stop_after: *span, back_after });
                 if *by_list {
-                    self.then(now, Then::Listed(*server, "draining", false));
+                    self.then(now, Then::Listed(*server, Listed::Draining, false));
                 }
-                self.then(over, Then::Listed(*server, "gone", false));
+                self.then(over, Then::Listed(*server, Listed::Gone, false));
                 if let Some(back) = back_after {
-                    self.then(over + back, Then::Listed(*server, "ready", true));
+                    self.then(over + back, Then::Listed(*server, Listed::Ready, true));
                 }
             }
             What::Die { server, back_after } => {
                 hands.command(*server, Command::Die(*back_after));
-                self.then(now, Then::Listed(*server, "gone", false));
+                self.then(now, Then::Listed(*server, Listed::Gone, false));
                 if let Some(back) = back_after {
-                    self.then(now + back, Then::Listed(*server, "ready", true));
+                    self.then(now + back, Then::Listed(*server, Listed::Ready, true));
                 }
             }
             What::Hang { server } => hands.command(*server, Command::Hang(true)),
@@ -157,6 +187,16 @@
                 self.offers(hands, |offers| offers.flood = Some((*publisher, *factor)))
             }
             What::MessagesLost { share } => hands.lose_messages(*share),
+            What::Kill { front, back_after } => {
+                hands.process(Process::Stop { front: *front, kill: true, back_after: *back_after });
+            }
+            What::Restart { front, back_after } => {
+                hands.process(Process::Stop { front: *front, kill: false, back_after: *back_after });
+            }
+            What::Crashing { front, times } => hands.process(Process::Crash { front: *front, times: *times }),
+            What::Freeze { server } => hands.process(Process::Freeze { server: *server, frozen: true }),
+            What::Reset { server } => hands.process(Process::Reset { server: *server }),
+            What::Sever { from, to, one_way } => self.sever(from, to, *one_way, true, hands),
         }
         self.then(over, Then::End(what.clone()));
     }
@@ -177,6 +217,8 @@
             What::Hot { .. } => self.offers(hands, |offers| offers.hot = 0.0),
             What::Flood { .. } => self.offers(hands, |offers| offers.flood = None),
             What::MessagesLost { .. } => hands.lose_messages(0.0),
+            What::Freeze { server } => hands.process(Process::Freeze { server: *server, frozen: false }),
+            What::Sever { from, to, one_way } => self.sever(from, to, *one_way, false, hands),
             What::Redials { .. } => {
                 let (times, wait) = (self.usual.redials, self.usual.redial_wait);
                 self.offers(hands, |offers| (offers.redials, offers.redial_wait) = (times, wait));
@@ -185,6 +227,20 @@
         }
     }
 
+    /// Ways that two troubles sever at once pass again only when both are over.
+    fn sever(&mut self, from: &[Party], to: &[Party], one_way: bool, severed: bool, hands: &mut impl Hands) {
+        let there = from.iter().flat_map(|a| to.iter().map(move |b| (*a, *b)));
+        let back = there.clone().filter(|_| !one_way).map(|(a, b)| (b, a));
+        for (from, to) in there.chain(back).filter(|(a, b)| a != b) {
+            let count = self.severed.entry((from, to)).or_insert(0_usize);
+            let before = *count > 0;
+            *count = if severed { *count + 1 } else { count.saturating_sub(1) };
+            if before != (*count > 0) {
+                hands.process(Process::Sever { from, to, severed: *count > 0 });
+            }
+        }
+    }
+
     fn each_front(&self, hands: &mut impl Hands, moment: impl Fn(u32) -> Moment) {
         (0..self.offers.len() as u32).for_each(|front| hands.record(moment(front)));
     }
--- a/crates/day/src/emulated.rs
+++ b/crates/day/src/emulated.rs
@@ -7,8 +7,9 @@
 use baydrift_front::{FrontError, Snapshot};
 
 use crate::cast::{callers, config_of, far_ends, host_of, linked, server_spec, sessions, texts, usual};
-use crate::course::{Course, Hands, Pool};
-use crate::run::{aftermath, outcome, policy_of, DayError, Outcome};
+use crate::course::{Course, Hands, Listed, Pool};
+use crate::error::DayError;
+use crate::run::{aftermath, outcome, policy_of, Outcome};
 use crate::script::Day;
 
 /// Server links come up before the first call does.
@@ -43,12 +44,12 @@
 
     fn list(&mut self, due: Micros, pool: &Pool) {
         self.version += 1;
-        let entry = |(number, (state, started)): (usize, &(&str, Option<Micros>))| PoolEntry {
+        let entry = |(number, (state, started)): (usize, &(Listed, Option<Micros>))| PoolEntry {
             host: host_of(number),
             state: match *state {
-                "ready" => ServerState::Ready,
-                "draining" => ServerState::Draining,
-                _ => ServerState::Gone,
+                Listed::Ready => ServerState::Ready,
+                Listed::Draining => ServerState::Draining,
+                Listed::Gone => ServerState::Gone,
             },
             started_ago: started.map(|at| due.saturating_sub(at)),
         };
@@ -61,7 +62,7 @@
             let told = pool.iter().enumerate().map(|(server, (state, _))| Moment::Told {
                 server: server as u16,
                 front: front as u32,
-                ready: *state == "ready",
+                ready: *state == Listed::Ready,
                 by_list: true,
             });
             self.world.push_list(due, front, list.clone(), told.collect());
@@ -78,6 +79,7 @@
 /// # Errors
 /// Where the fronts' configuration cannot be made of the script.
 pub fn run_virtual(day: &Day, mut progress: impl FnMut(f64, &str)) -> Result<Outcome, DayError> {
+    day.without_processes()?;
     let addrs: Vec<_> = (0..day.servers.rates.len())
         .map(|number| std::net::SocketAddr::from(([127, 0, 0, 1], 20_000 + number as u16)))
         .collect();
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -16,6 +16,7 @@
 mod server;
 mod text;
 mod two_ends;
+mod way;
 mod world;
 
 pub use caller::{CallerInput, CallerOutput, CallerSpec, Callers};
@@ -27,4 +28,5 @@
 pub use server::{Command, ConnId, ServerInput, ServerOutput, ServerSpec, SessionServer};
 pub use text::{said, TextCallers, TextOutput, TextSpec};
 pub use two_ends::{Tally, TwoEnds, TwoEndsSpec};
+pub use way::{Way, WaySpec, RESENT_AFTER};
 pub use world::{Roughness, World, WorldSpec};
--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -11,6 +11,7 @@
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
 
 use crate::processor::{Processor, ProcessorSpec, Taken, Work};
 
@@ -42,7 +43,7 @@
 }
 
 /// Troubles on command.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub enum Command {
     /// Work takes so many times as long.
     Slow(f64),
@@ -175,6 +176,13 @@
         }
     }
 
+    /// The same as a later process of this server: cold since `now`, under another origin state than those before.
+    pub fn cold(mut self, now: Micros, state_id: u32) -> Self {
+        self.cpu = Processor::new(self.spec.processor, Some(now));
+        self.local = Arc::new(Local { state_id, ..(*self.local).clone() });
+        self
+    }
+
     /// Whether a process runs and listens.
     pub fn listens(&self) -> bool {
         self.down.is_none()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,5 +20,5 @@
 pub use names::{list_answer, relay_config, Listed, NameServer};
 pub use packets::Packets;
 pub use platform::{Manner, PlatformCaller, PlatformServer, Told};
-pub use server::Server;
+pub use server::{Again, Server};
 pub use text::TextCaller;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -13,6 +13,15 @@
 use tokio::sync::mpsc;
 use tokio_util::codec::Framed;
 
+/// Where a server's process starts: at an address that it had before, and then cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Again {
+    /// Where it listens again.
+    pub addr: SocketAddr,
+    /// Its origin state: another than that of any process before it.
+    pub state_id: u32,
+}
+
 /// A running server; it ends when this is dropped.
 pub struct Server {
     /// Where it listens.
@@ -26,11 +35,31 @@
     /// # Errors
     /// Where the socket cannot be bound.
     pub async fn start(spec: ServerSpec, recorder: Arc<Recorder>, seed: u64) -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::start_at(spec, recorder, seed, None).await
+    }
+
+    /// As [`Server::start`], or as a later process of the server.
+    ///
+    /// # Errors
+    /// As there; also where the address stays taken.
+    pub async fn start_at(
+        spec: ServerSpec,
+        recorder: Arc<Recorder>,
+        seed: u64,
+        again: Option<Again>,
+    ) -> std::io::Result<Self> {
+        let listener = match again {
+            None => TcpListener::bind("127.0.0.1:0").await?,
+            Some(again) => listen_again(again.addr).await.ok_or(std::io::ErrorKind::AddrInUse)?,
+        };
         let addr = listener.local_addr()?;
         let (commands, received) = mpsc::unbounded_channel();
-        recorder.put(Moment::Start { server: spec.number, cold: false });
+        recorder.put(Moment::Start { server: spec.number, cold: again.is_some() });
         let model = SessionServer::new(spec, vec![addr.ip()], seed);
+        let model = match again {
+            None => model,
+            Some(again) => model.cold(recorder.now(), again.state_id),
+        };
         tokio::spawn(run(model, listener, addr, received, recorder));
         Ok(Self { addr, commands })
     }
