A call said again to a front that was killed and is back waits for the guard

Examined in the records: every one is a call that was out at a server when its front was killed; the caller says it again with the T flag to the process that is back within 50 ms, which sets it up 17 to 88 ms after the reset that ended the first. Ruled out: the module (it never heard of the first attempt) and the relays (the server's own reading of the connection's end is the reset that counts). At fault: call/engine.rs, `take`, which knows only what this process did.

Change: an offer says whether it may have been said before (T flag; a text transaction always may). Until the guard after the process's start such a call is held, answered and released as any other, and the module hears of it when no process before this one can have it out. The audit takes the moment at which a set-up or release entered the net for the one that counts, where the way was watched: a segment that is lost comes 200 ms later and looked like a resend. Its rule 3 no longer wraps where a set-up was sent before the drain was told.

Test: a_call_said_before_to_a_process_that_was_killed_waits... fails without the change; two audit tests with planted breaches.

--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -80,8 +80,9 @@
     Killed { front: u32 },
     /// A front's process serves, after one that was killed or told to end.
     Started { front: u32 },
-    /// A set-up, or a release, entered a way to a server that holds what it carries; read there later.
-    Sent { server: u16, attempt: String, release: bool },
+    /// A front's set-up of a call, or without one its release of an attempt, entered a way to a server; read there
+    /// later.
+    Sent { server: u16, front: u32, call: Option<String>, attempt: String },
 }
 
 /// The machine's monotonic clock, in microseconds: the same for all its processes, whatever their own clocks say.
--- a/crates/audit/src/rules.rs
+++ b/crates/audit/src/rules.rs
@@ -65,8 +65,6 @@
     stalls: Vec<(u32, u64, u64)>,
     /// When fronts were killed, and when they served again.
     downs: Vec<(u32, u64, u64)>,
-    /// Attempts that entered a way which held them, and when; with the time at which they were given up there.
-    sent: BTreeMap<String, (u64, Option<u64>)>,
     lossy: BTreeSet<String>,
     /// Clients whose way holds what it carries.
     held: BTreeSet<String>,
@@ -84,7 +82,6 @@
         told: BTreeMap::new(),
         stalls: Vec::new(),
         downs: Vec::new(),
-        sent: BTreeMap::new(),
         lossy: BTreeSet::new(),
         held: BTreeSet::new(),
         losses: Losses::default(),
@@ -124,7 +121,11 @@
                 theirs.for_each(|(_, call)| call.parted |= call.answered.is_none());
             }
             Moment::SetUp { server, front, call, attempt, redirected: _ } => {
-                self.set_up(at, *server, *front, call, attempt);
+                self.verdict.set_ups += 1;
+                // Where the way there was watched, it counted when it was sent.
+                if !self.attempts.contains_key(attempt) {
+                    self.set_up(at, *server, *front, call, attempt);
+                }
             }
             Moment::Reply { attempt, code, lost, .. } => {
                 // A lost answer ends nothing: its front does not see it. One that stands leaves nothing to repeat.
@@ -180,13 +181,12 @@
                 let down = self.downs.iter_mut().rev().find(|down| down.0 == *front && down.2 == u64::MAX);
                 down.into_iter().for_each(|down| down.2 = at);
             }
-            Moment::Sent { attempt, release: false, .. } => {
-                self.sent.insert(attempt.clone(), (at, None));
-            }
-            Moment::Sent { attempt, release: true, .. } => {
-                self.sent.entry(attempt.clone()).or_insert((at, None)).1 = Some(at);
-                self.end(at, attempt, true);
+            // What counts is when a front sent: a way that holds what it carries may give it on much later, when it
+            // was given up long before.
+            Moment::Sent { server, front, call: Some(call), attempt } => {
+                self.set_up(at, *server, *front, call, attempt);
             }
+            Moment::Sent { call: None, attempt, .. } => self.end(at, attempt, true),
             Moment::Again { call, .. } => {
                 if let Some(call) = self.calls.get_mut(call).filter(|call| at + LAST_ASKED < call.gives_up) {
                     call.parted = false;
@@ -245,13 +245,9 @@
     }
 
     fn set_up(&mut self, at: u64, server: u16, front: u32, name: &str, attempt: &str) {
-        self.verdict.set_ups += 1;
-        // Read late, since its way held it: what counts is when the front sent it, and one that was given up on the
-        // way was never out.
-        let (at, given_up) = self.sent.get(attempt).copied().unwrap_or((at, None));
         let told = [true, false].into_iter().filter_map(|by_list| self.told.get(&(server, front, by_list)));
         if let Some(told) = told.min().copied() {
-            let after = at - told;
+            let after = at.saturating_sub(told);
             self.verdict.latest_after_drain = self.verdict.latest_after_drain.max(Some(after));
             if after > self.terms.grace {
                 self.breach(
@@ -262,27 +258,21 @@
             }
         }
         let Terms { release_guard, max_attempts, .. } = self.terms;
-        if let Some(open) =
-            self.calls.get(name).and_then(|call| call.out.clone()).filter(|_| given_up.is_none())
-        {
+        if let Some(open) = self.calls.get(name).and_then(|call| call.out.clone()) {
             self.breach(2, at, format!("{name}: {attempt} is set up while {open} is out"));
         }
-        let record = Attempt { call: name.to_owned(), server, front, open: given_up.is_none() };
+        let record = Attempt { call: name.to_owned(), server, front, open: true };
         self.attempts.insert(attempt.to_owned(), record);
-        if given_up.is_none() {
-            self.at.entry((server, front)).or_default().insert(attempt.to_owned());
-        }
+        self.at.entry((server, front)).or_default().insert(attempt.to_owned());
         let Some(call) = self.calls.get_mut(name) else {
             return self.breach(1, at, format!("{attempt} is set up for {name}, which was never offered"));
         };
         call.attempts += 1;
-        if given_up.is_none() {
-            call.out = Some(attempt.to_owned());
-        }
+        call.out = Some(attempt.to_owned());
         // A front hears that the caller left after it hears of the call: one that was held comes with its end.
         let left = call.left.filter(|_| !call.held);
         let (unsure, answered, attempts) = (call.unsure, call.answered.or(left), call.attempts);
-        if let Some(gap) = unsure.filter(|_| given_up.is_none()).map(|unsure| at.saturating_sub(unsure)) {
+        if let Some(gap) = unsure.map(|unsure| at.saturating_sub(unsure)) {
             let shortest = self.verdict.shortest_guard;
             self.verdict.shortest_guard = Some(shortest.map_or(gap, |shortest| shortest.min(gap)));
             if gap + SLACK < release_guard {
--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -232,6 +232,64 @@
     assert_eq!(broken(many), [0]);
 }
 
+fn sent(server: u16, attempt: &str, call: Option<&str>) -> Moment {
+    Moment::Sent { server, front: 0, call: call.map(str::to_owned), attempt: attempt.into() }
+}
+
+#[test]
+fn what_a_severed_way_gives_on_late_counts_from_when_it_was_sent() {
+    // Sent in time, held for two seconds, given up meanwhile and set up elsewhere: nothing is broken.
+    let held = |given_up: u64, second: u64| {
+        let mut moments = vec![
+            (0, offer("c|1")),
+            (1, sent(0, "a1", Some("c|1"))),
+            (given_up, sent(0, "a1", None)),
+            (second, sent(1, "a2", Some("c|1"))),
+            (second + 1, set_up(1, "c|1", "a2")),
+            (second + 10, reply(1, "a2", 2001)),
+            (second + 11, answer("c|1", 2001)),
+            (2_500, set_up(0, "c|1", "a1")),
+            (2_500, release(0, "a1")),
+            (9_000, release(1, "a2")),
+        ];
+        moments.sort_by_key(|(at, _)| *at);
+        broken(moments)
+    };
+    assert_eq!(held(900, 1_250), NONE);
+    // Sooner than the guard after it was given up, or before that: as for any other attempt.
+    assert_eq!(held(900, 1_100), [5]);
+    assert_eq!(held(900, 800), [2]);
+    // A connection that ended with the set-up on its way gives it up.
+    let parted = |second: u64| {
+        broken(vec![
+            (0, offer("c|1")),
+            (1, sent(0, "a1", Some("c|1"))),
+            (20, Moment::Unlinked { server: 0, front: 0 }),
+            (200, set_up(0, "c|1", "a1")),
+            (201, Moment::Unlinked { server: 0, front: 0 }),
+            (second, set_up(1, "c|1", "a2")),
+            (second + 10, reply(1, "a2", 2001)),
+            (second + 11, answer("c|1", 2001)),
+        ])
+    };
+    assert_eq!(parted(330), NONE);
+}
+
+#[test]
+fn a_killed_front_owes_answers_again_once_it_serves() {
+    let killed = |offered: u64| {
+        broken(vec![
+            (100, Moment::Killed { front: 0 }),
+            (200, Moment::Started { front: 0 }),
+            (offered, offer("c|1")),
+            (9_000, offer("c|2")),
+            (9_001, answer("c|2", 3004)),
+        ])
+    };
+    assert_eq!(killed(150), NONE);
+    assert_eq!(killed(250), [1]);
+}
+
 #[test]
 fn service_counts_worth_in_time_and_uncut() {
     let classes =
--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -140,6 +140,8 @@
     pool: Pool,
     limits: Limits,
     now: Micros,
+    /// When this process heard of anything first.
+    started: Option<Micros>,
     calls: BTreeMap<CallId, Held<P>>,
     sessions: BTreeMap<Session, CallId>,
     attempts: BTreeMap<AttemptId, Attempt>,
@@ -190,6 +192,7 @@
             pool: Pool::new(settings.ramp_time, limits.servers),
             policy,
             now: 0,
+            started: None,
             calls: BTreeMap::new(),
             sessions: BTreeMap::new(),
             attempts: BTreeMap::new(),
@@ -221,6 +224,7 @@
     /// are heard first: after an own stall a drain, or an answer that came in time, counts before a timer.
     pub fn hear(&mut self, now: Micros, input: Input<P>, out: &mut Vec<Output<P>>) {
         self.now = self.now.max(now);
+        self.started.get_or_insert(self.now);
         match input {
             Input::Offered(offer) => self.offered(offer, out),
             Input::Released { session, request } => self.released(session, request, out),
@@ -376,7 +380,7 @@
             )));
             held.held_back += 1;
             if held.held_back >= HELD_BACK_MAX {
-                self.events.push_back(Event::Abandoned(id));
+                self.abandoned(id);
                 return self.answer(id, Final::Failed, out);
             }
             return self.not_sent(id, index, server, Outcome::Moot);
@@ -475,7 +479,7 @@
             ..Held::new(offer.session, offer.class, Phase::Deciding, answer_by)
         };
         self.hold(id, held);
-        self.events.push_back(Event::Call(Call {
+        let call = Call {
             id,
             class: offer.class,
             tenant: offer.tenant,
@@ -485,7 +489,33 @@
             redial: offer.redial,
             in_transit: false,
             was_cut: offer.was_cut,
-        }));
+        };
+        // Guards against a process that was killed with this call out, and came back at once: the one before may
+        // have set it up until it ended, and its end is as sure as a reset is.
+        let sure_at = self.started.unwrap_or(self.now).saturating_add(self.guard.release_guard());
+        if offer.repeated && self.now < sure_at {
+            self.timers.set(sure_at, Timer::Sure(id));
+            if let Some(held) = self.calls.get_mut(&id) {
+                held.untold = Some((self.now, call));
+            }
+            return;
+        }
+        self.events.push_back(Event::Call(call));
+    }
+
+    /// No other process can have the call out any more: the module hears of it.
+    fn sure(&mut self, id: CallId) {
+        let untold = self.calls.get_mut(&id).and_then(|held| held.untold.take());
+        let Some((since, call)) = untold else { return };
+        let gives_up_in = call.gives_up_in.saturating_sub(self.now.saturating_sub(since));
+        self.events.push_back(Event::Call(Call { gives_up_in, ..call }));
+    }
+
+    /// The module is done with a call, if it ever heard of it.
+    fn abandoned(&mut self, id: CallId) {
+        if self.calls.get(&id).is_some_and(|held| held.untold.is_none()) {
+            self.events.push_back(Event::Abandoned(id));
+        }
     }
 
     /// A call is held from now on.
@@ -515,7 +545,7 @@
             Some(Phase::Standing(attempt)) => self.release_standing(id, attempt, out),
             Some(Phase::Out(_) | Phase::Deciding) => {
                 // The caller gave up before its answer; what it still hears is that the call failed.
-                self.events.push_back(Event::Abandoned(id));
+                self.abandoned(id);
                 self.answer(id, Final::Failed, out);
             }
             None => {}
@@ -540,7 +570,7 @@
             match self.calls.get(&id).map(|held| held.phase) {
                 Some(Phase::Standing(attempt)) => self.release_standing(id, attempt, out),
                 Some(_) => {
-                    self.events.push_back(Event::Abandoned(id));
+                    self.abandoned(id);
                     self.answer(id, Final::Failed, out);
                 }
                 None => {}
@@ -933,6 +963,7 @@
                     }
                 }
                 Timer::Deadline(id) => self.deadline(id, out),
+                Timer::Sure(id) => self.sure(id),
                 Timer::Release(id) => self.release_unanswered(id),
                 Timer::Away(id) => self.away(id, out),
                 Timer::Orphans => self.release_orphans(out),
@@ -949,7 +980,7 @@
             .is_some_and(|held| !matches!(held.phase, Phase::Standing(_)) && self.now >= held.answer_by);
         if due {
             self.guard.count(Breach::Unanswered);
-            self.events.push_back(Event::Abandoned(id));
+            self.abandoned(id);
             self.answer(id, Final::Failed, out);
         }
     }
@@ -968,7 +999,7 @@
         let undecided = |held: &Held<P>| !matches!(held.phase, Phase::Standing(_));
         let ids: Vec<_> = self.calls.iter().filter(|(_, held)| undecided(held)).map(|(id, _)| *id).collect();
         for id in ids {
-            self.events.push_back(Event::Abandoned(id));
+            self.abandoned(id);
             self.answer(id, Final::Refused { retry_after: 0, why: Refusal::Stopping }, out);
         }
     }
--- a/crates/call/src/guard.rs
+++ b/crates/call/src/guard.rs
@@ -126,6 +126,11 @@
         }
     }
 
+    /// Rule 5's time.
+    pub fn release_guard(&self) -> Micros {
+        self.release_guard
+    }
+
     /// Counts a breach that is met elsewhere.
     pub fn count(&mut self, breach: Breach) {
         *self.counts.entry(breach).or_default() += 1;
--- a/crates/call/src/held.rs
+++ b/crates/call/src/held.rs
@@ -1,6 +1,6 @@
 //! A call and an attempt as the engine holds them.
 
-use baydrift::interface::{CallId, Micros, ServerId};
+use baydrift::interface::{Call, CallId, Micros, ServerId};
 
 use crate::types::{AttemptId, Request, Session};
 
@@ -40,6 +40,8 @@
     pub(crate) payload: Option<P>,
     /// Since when its owner has no link.
     pub(crate) away_since: Option<Micros>,
+    /// The module has not heard of it: what it will be told, and since when that waits.
+    pub(crate) untold: Option<(Micros, Call)>,
 }
 
 impl<P> Held<P> {
@@ -57,6 +59,7 @@
             held_back: 0,
             payload: None,
             away_since: None,
+            untold: None,
         }
     }
 }
--- a/crates/call/src/timers.rs
+++ b/crates/call/src/timers.rs
@@ -15,6 +15,8 @@
     Attempt(AttemptId),
     /// A call's answer must be out.
     Deadline(CallId),
+    /// No process before this one can have the call out.
+    Sure(CallId),
     /// A release's answer is due.
     Release(AttemptId),
     /// The owner of a standing call has been away for long.
--- a/crates/call/src/types.rs
+++ b/crates/call/src/types.rs
@@ -51,6 +51,8 @@
     pub redial: Option<bool>,
     /// It stood, was cut and comes again.
     pub was_cut: bool,
+    /// It may have been said before, perhaps to a process that ran here before this one.
+    pub repeated: bool,
     /// What the driver wants back with each set-up; dropped with the final answer.
     pub payload: P,
 }
--- a/crates/call/tests/calls.rs
+++ b/crates/call/tests/calls.rs
@@ -78,6 +78,24 @@
     assert_eq!(set_ups(&w.offer_by(1, request(2, 13), 0)), 1);
 }
 
+#[test]
+fn a_call_said_before_to_a_process_that_was_killed_waits_until_nothing_of_it_can_be_out() {
+    let mut w = World::new(Limits::default());
+    // A new call goes at once; one that the process before this one may have set up waits for the guard.
+    assert!(set_up(&w.offer(1)).is_some());
+    assert_eq!((set_ups(&w.repeat(2)), w.engine.calls_in_set_up()), (0, 2));
+    assert_eq!(set_ups(&w.pass(299 * MS)), 0);
+    assert_eq!(set_ups(&w.pass(2 * MS)), 1);
+    // Its caller leaves meanwhile: one answer, and nothing is set up for it later.
+    let mut w = World::new(Limits::default());
+    w.repeat(3);
+    let out = w.input(Input::Released { session: session(3), request: request(1, 50) });
+    assert_eq!(answers(&out).len(), 1);
+    assert_eq!(set_ups(&w.pass(5 * S)), 0);
+    // Long after the start there is nothing to wait for.
+    assert!(set_up(&w.repeat(4)).is_some());
+}
+
 #[test]
 fn a_caller_that_gives_up_first_gets_one_answer_and_its_attempt_is_released() {
     let mut w = World::new(Limits::default());
--- a/crates/call/tests/common/mod.rs
+++ b/crates/call/tests/common/mod.rs
@@ -57,6 +57,22 @@
     Request { link: LinkId(link), ticket }
 }
 
+fn offered(id: u32, request: Request, first: u16) -> Offer<u32> {
+    Offer {
+        session: session(id),
+        request,
+        class: 0,
+        tenant: 0,
+        number: 0,
+        first_choice: Some(first),
+        gives_up_in: 3 * S,
+        redial: None,
+        was_cut: false,
+        repeated: false,
+        payload: id,
+    }
+}
+
 pub struct World {
     pub engine: Engine<u32>,
     pub now: Micros,
@@ -110,18 +126,13 @@
     }
 
     pub fn offer_by(&mut self, id: u32, request: Request, first: u16) -> Vec<Output<u32>> {
-        self.input(Input::Offered(Offer {
-            session: session(id),
-            request,
-            class: 0,
-            tenant: 0,
-            number: 0,
-            first_choice: Some(first),
-            gives_up_in: 3 * S,
-            redial: None,
-            was_cut: false,
-            payload: id,
-        }))
+        self.input(Input::Offered(offered(id, request, first)))
+    }
+
+    /// A call that its client marks as said before.
+    pub fn repeat(&mut self, id: u32) -> Vec<Output<u32>> {
+        let offer = offered(id, request(1, u64::from(id)), 0);
+        self.input(Input::Offered(Offer { repeated: true, ..offer }))
     }
 
     pub fn offer(&mut self, id: u32) -> Vec<Output<u32>> {
--- a/crates/day/src/processes/net.rs
+++ b/crates/day/src/processes/net.rs
@@ -15,7 +15,7 @@
 use baydrift::interface::Micros;
 use baydrift_audit::{Moment, Recorder};
 use baydrift_diameter::credit::{Ccr, RequestType};
-use baydrift_diameter::{Codec, Frame};
+use baydrift_diameter::{dict, Codec, Frame};
 use baydrift_emulator::{Way, WaySpec};
 use bytes::BytesMut;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -314,9 +314,10 @@
         while let Ok(Some(frame)) = self.codec.decode(&mut self.bytes) {
             let Frame::Good(message) = frame else { continue };
             let Ok(ccr) = Ccr::read(&message) else { continue };
-            let release = ccr.request_type != RequestType::Initial;
             let attempt = ccr.session.to_owned();
-            recorder.put(Moment::Sent { server, attempt, release });
+            let call = (ccr.request_type == RequestType::Initial)
+                .then(|| message.text(dict::CC_CORRELATION_ID).unwrap_or("").to_owned());
+            recorder.put(Moment::Sent { server, front, call, attempt });
         }
     }
 }
--- a/crates/desk/src/commands.rs
+++ b/crates/desk/src/commands.rs
@@ -411,6 +411,8 @@
             gives_up_in: patience.saturating_sub(reserve),
             redial: None,
             was_cut: false,
+            // A transaction that is said again looks as it did the first time.
+            repeated: true,
             payload: Payload { request: Arc::new(message), name: get("bdc/ref").map(Arc::from), span },
         };
         Ok((offer, patience))
--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -635,6 +635,7 @@
             gives_up_in: class.1.saturating_sub(self.waited),
             redial: None,
             was_cut: false,
+            repeated: false,
             payload: Payload { request: Arc::new(message), name: reference.clone(), span },
         }
     }
@@ -825,6 +826,7 @@
                 gives_up_in: facts.gives_up.saturating_sub(waited),
                 redial: None,
                 was_cut: false,
+                repeated: message.header.flags.retransmitted,
                 payload: Payload { request: message.clone(), name: None, span },
             }))
         }
--- a/crates/node/src/state/callers.rs
+++ b/crates/node/src/state/callers.rs
@@ -157,6 +157,8 @@
             gives_up_in: setup.wait,
             redial: self.wording.marks_redials.then_some(setup.redial),
             was_cut: setup.was_cut,
+            // Each set-up has an id of its own, also a caller's second one.
+            repeated: false,
             payload,
         };
         self.engine(Moment::Offered(offer), out);
