Drawn faults for processes; a server that dies with a set-up on its way ends it

The front was told of its connection's end, nobody else: the relay put an end on record only where the front closed. At fault: processes/net.rs, `carry`. Change: the end of a watched connection is on record whoever ended it.

--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -85,10 +85,10 @@
 /// The day that is played with a seed.
 fn of_seed(args: &Args, day: &Day, seed: u64) -> Day {
     let day = Day { seed, ..day.clone() };
-    if args.drawn {
-        baydrift_day::drawn(&day)
-    } else {
-        day
+    match (args.drawn, args.processes) {
+        (false, _) => day,
+        (true, false) => baydrift_day::drawn(&day),
+        (true, true) => baydrift_day::drawn_for_processes(&day),
     }
 }
 
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -17,7 +17,7 @@
 pub use baseline::RoundRobin;
 pub use bench::{from_bench, BenchError};
 pub use cast::{config_text, config_text_at, Places};
-pub use draw::drawn;
+pub use draw::{drawn, drawn_for_processes};
 pub use emulated::run_virtual;
 pub use error::DayError;
 pub use processes::{play_role, run_processes, Program, RoleError};
--- a/crates/day/src/processes/net.rs
+++ b/crates/day/src/processes/net.rs
@@ -202,6 +202,11 @@
             let _ = (near.set_zero_linger(), far.set_zero_linger());
         }
     }
+    // On record before the front hears of it. Guards against a server that dies with a set-up on its way there: nobody
+    // reads it any more, and its connection's end is all that its front is told.
+    if let Some(Between { front, server }) = inside.between {
+        inside.recorder.put(Moment::Unlinked { server, front });
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
