The list is pushed again to fronts that start anew; a way holds what a cut needs

Causes, three, none in the front: the audit held a new process to what the one before it was told; the list service pushed each list once, so that a process that starts anew was never told; a relay read no more than 64 pieces while its way was cut and put later ones on record late. Change: what was told ends with the process; the list service pushes its last list every 400 ms, which who has it turns down by its version; a way holds 4,096 pieces.

--- a/crates/audit/src/rules.rs
+++ b/crates/audit/src/rules.rs
@@ -176,7 +176,11 @@
             }
             Moment::Held { client, held: false } => drop(self.held.remove(client)),
             Moment::Lossy { client } => drop(self.lossy.insert(client.clone())),
-            Moment::Killed { front } => self.downs.push((*front, at, u64::MAX)),
+            Moment::Killed { front } => {
+                self.downs.push((*front, at, u64::MAX));
+                // What was told to that process is nothing that the next one was told.
+                self.told.retain(|key, _| key.1 != *front);
+            }
             Moment::Started { front } => {
                 let down = self.downs.iter_mut().rev().find(|down| down.0 == *front && down.2 == u64::MAX);
                 down.into_iter().for_each(|down| down.2 = at);
--- a/crates/day/src/processes/net.rs
+++ b/crates/day/src/processes/net.rs
@@ -24,8 +24,9 @@
 
 /// Connections that wait at a relay's listener while it takes them.
 const BACKLOG: i32 = 1_024;
-/// Pieces of a stream that a way holds; beyond it the sender is held back, as by TCP.
-const HELD: usize = 64;
+/// Pieces of a stream that a way holds; beyond it the sender is held back, as by TCP. So many that no cut of a day
+/// reaches it: what enters the net is on record only once it is read.
+const HELD: usize = 4_096;
 /// Datagrams that a way holds; what comes beyond is lost and counted as the relay's own fault.
 const DATAGRAMS: usize = 4_096;
 /// A relay that gives something on so much later than it was due has fallen behind: the driver's own fault.
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -288,37 +288,56 @@
     Ok(outcome(day, lines, snapshots))
 }
 
-/// Pushes each list to every front when its time has come.
+/// The list is pushed again so often to whoever may have missed it, a front that has started anew above all; one that
+/// has it turns it down.
+const PUSHED_AGAIN: Duration = Duration::from_millis(400);
+
+/// Pushes each list to every front when its time has come, and the last one again and again.
 pub(crate) async fn list_service(
     recorder: Arc<Recorder>,
     fronts: Vec<Option<SocketAddr>>,
     mut lists: mpsc::UnboundedReceiver<(Micros, Pool)>,
 ) {
     let mut version = 0u64;
-    while let Some((due, pool)) = lists.recv().await {
+    let mut last: Option<Pool> = None;
+    loop {
+        let next = tokio::select! {
+            next = lists.recv() => next,
+            () = tokio::time::sleep(PUSHED_AGAIN), if last.is_some() => {
+                last.iter().for_each(|pool| push_to_all(&recorder, &fronts, version, pool));
+                continue;
+            }
+        };
+        let Some((due, pool)) = next else { return };
         tokio::time::sleep(Duration::from_micros(due.saturating_sub(recorder.now()))).await;
         version += 1;
-        let now = recorder.now();
-        let servers: Vec<_> = pool
-            .iter()
-            .enumerate()
-            .map(|(number, (state, started))| {
-                let ago = started.map(|at| now.saturating_sub(at) / 1_000);
-                serde_json::json!({"host": host_of(number), "state": state, "started_ms_ago": ago})
-            })
-            .collect();
-        let list = serde_json::json!({"version": version, "full": true, "servers": servers});
-        for (front, addr) in fronts.iter().enumerate() {
-            let Some(addr) = addr else { continue };
-            let (recorder, states, list, addr) = (recorder.clone(), pool.clone(), list.clone(), *addr);
-            tokio::spawn(async move {
-                if push(addr, TOKEN, &list).await == 200 {
-                    for (server, (state, _)) in states.iter().enumerate() {
-                        let (server, front, ready) = (server as u16, front as u32, *state == Listed::Ready);
-                        recorder.put(Moment::Told { server, front, ready, by_list: true });
-                    }
+        push_to_all(&recorder, &fronts, version, &pool);
+        last = Some(pool);
+    }
+}
+
+/// Each front is pushed to by itself; who takes the list was told, and when is on record.
+fn push_to_all(recorder: &Arc<Recorder>, fronts: &[Option<SocketAddr>], version: u64, pool: &Pool) {
+    let now = recorder.now();
+    let servers: Vec<_> = pool
+        .iter()
+        .enumerate()
+        .map(|(number, (state, started))| {
+            let ago = started.map(|at| now.saturating_sub(at) / 1_000);
+            serde_json::json!({"host": host_of(number), "state": state, "started_ms_ago": ago})
+        })
+        .collect();
+    let list = serde_json::json!({"version": version, "full": true, "servers": servers});
+    for (front, addr) in fronts.iter().enumerate() {
+        let Some(addr) = addr else { continue };
+        let (recorder, states, list, addr) = (recorder.clone(), pool.clone(), list.clone(), *addr);
+        tokio::spawn(async move {
+            if push(addr, TOKEN, &list).await == 200 {
+                for (server, (state, _)) in states.iter().enumerate() {
+                    let (server, front, ready) = (server as u16, front as u32, *state == Listed::Ready);
+                    recorder.put(Moment::Told { server, front, ready, by_list: true });
                 }
-            });
-        }
+            }
+        });
     }
 }
