When a front was told a list counts by what it can have known; attempts are a process's

Change: 'ready' counts from when the push began, 'not ready' from when it was answered, and an answer to an older list that comes after a newer one's tells nothing.

--- a/crates/audit/src/rules.rs
+++ b/crates/audit/src/rules.rs
@@ -178,8 +178,11 @@
             Moment::Lossy { client } => drop(self.lossy.insert(client.clone())),
             Moment::Killed { front } => {
                 self.downs.push((*front, at, u64::MAX));
-                // What was told to that process is nothing that the next one was told.
+                // What was told to that process is nothing that the next one was told, nor are its attempts the next
+                // one's: a call that its caller says again is a new request there.
                 self.told.retain(|key, _| key.1 != *front);
+                let theirs = self.calls.values_mut().filter(|call| call.front == *front);
+                theirs.for_each(|call| call.attempts = 0);
             }
             Moment::Started { front } => {
                 let down = self.downs.iter_mut().rev().find(|down| down.0 == *front && down.2 == u64::MAX);
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use baydrift::interface::Micros;
@@ -300,24 +300,34 @@
 ) {
     let mut version = 0u64;
     let mut last: Option<Pool> = None;
+    let taken: Taken = Arc::default();
     loop {
         let next = tokio::select! {
             next = lists.recv() => next,
             () = tokio::time::sleep(PUSHED_AGAIN), if last.is_some() => {
-                last.iter().for_each(|pool| push_to_all(&recorder, &fronts, version, pool));
+                last.iter().for_each(|pool| push_to_all(&recorder, &fronts, version, pool, &taken));
                 continue;
             }
         };
         let Some((due, pool)) = next else { return };
         tokio::time::sleep(Duration::from_micros(due.saturating_sub(recorder.now()))).await;
         version += 1;
-        push_to_all(&recorder, &fronts, version, &pool);
+        push_to_all(&recorder, &fronts, version, &pool, &taken);
         last = Some(pool);
     }
 }
 
+/// By front: the newest list that it is known to have taken, and when that was heard.
+type Taken = Arc<Mutex<BTreeMap<usize, (u64, Micros)>>>;
+
 /// Each front is pushed to by itself; who takes the list was told, and when is on record.
-fn push_to_all(recorder: &Arc<Recorder>, fronts: &[Option<SocketAddr>], version: u64, pool: &Pool) {
+fn push_to_all(
+    recorder: &Arc<Recorder>,
+    fronts: &[Option<SocketAddr>],
+    version: u64,
+    pool: &Pool,
+    taken: &Taken,
+) {
     let now = recorder.now();
     let servers: Vec<_> = pool
         .iter()
@@ -331,11 +341,25 @@
     for (front, addr) in fronts.iter().enumerate() {
         let Some(addr) = addr else { continue };
         let (recorder, states, list, addr) = (recorder.clone(), pool.clone(), list.clone(), *addr);
+        let last = taken.clone();
         tokio::spawn(async move {
+            let begun = recorder.now();
             if push(addr, TOKEN, &list).await == 200 {
+                let taken = recorder.now();
+                let mut last = last.lock().unwrap_or_else(PoisonError::into_inner);
+                let (newest, since) = last.get(&front).copied().unwrap_or_default();
+                if version < newest {
+                    // Heard of only after a newer one, which the front took later.
+                    return;
+                }
+                last.insert(front, (version, taken));
+                let begun = begun.max(since);
                 for (server, (state, _)) in states.iter().enumerate() {
                     let (server, front, ready) = (server as u16, front as u32, *state == Listed::Ready);
-                    recorder.put(Moment::Told { server, front, ready, by_list: true });
+                    // When within that time it was told nobody saw: what it must not do any more counts from the
+                    // end, and what it may do again from the begin.
+                    let at = if ready { begun } else { taken };
+                    recorder.add(Line { at, moment: Moment::Told { server, front, ready, by_list: true } });
                 }
             }
         });
