A young front ramps cold servers by what others took; one connection each in a large fleet

Examined with the node's log (a line a server and second, 300 nodes): 1. Spare connections fill servers that hold few: 39,608 dials, 5,500 refused or failed; with one connection each 14,160 and none. 2. At t=20 s the eight cold servers take 0.1 to 0.3 of what their numbers took warm (number 4: 43 of 276 a second, number 18: 27 of 266) at 0.7 of their ramp: a node that was just killed knows nothing of what a number took, and its fallback (the least it knows) is nought at 0.4 set-ups a second. 3. Words go in the order of the list, a dozen a message: of 24 servers those at the end are never told of. Ruled out: that the bound by what stood refuses too long. At fault: node/state/servers.rs, CONNS_LEAST and CONNS_MOST for every fleet; policy.rs, ramp_rate's fallback; tell's order. Change: node/state/spread.rs decides how many connections a server is worth, by the fleet's size and the server's refusals. A word tells what a number took from the teller while warm (2 bytes); a front that has not lived for the meter's lag ramps by the mean of what it was told, nought included. Words begin at a drawn place. What is left of the loss: the burst of callers whose calls were cut overruns every server that is up (5,100 set-ups in a second against 2,700), waits of 1 to 2 s, and the loops then refuse for some seconds more than they need. Tests fail without the change: two in tests/fleet.rs; spread.rs has its own.

--- a/crates/node/src/state/mod.rs
+++ b/crates/node/src/state/mod.rs
@@ -9,6 +9,7 @@
 mod callers;
 mod names;
 mod servers;
+mod spread;
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
--- a/crates/node/src/state/servers.rs
+++ b/crates/node/src/state/servers.rs
@@ -14,13 +14,10 @@
 use baydrift_platform::{report, Cause, Code, Fault, Fleet, Id, Kind, Message};
 
 use super::aged::Aged;
+use super::spread::{Spread, MOST};
 use super::{wire, Flight, Node, Output, Payload, Unsent};
 use crate::config::Config;
 
-/// Connections to a ready server at the least: one may break while the other serves.
-const CONNS_LEAST: usize = 2;
-/// And at the most: set-ups are spread, so that one answer that cannot be read spoils few.
-const CONNS_MOST: usize = 16;
 /// Descriptors for all that is no connection: listener, datagrams, signals, log, configuration.
 const OTHERS: usize = 24;
 /// A connection that has said nothing for so long is tested ...
@@ -52,12 +49,14 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Bounds {
     all: usize,
+    /// Front nodes of the fleet.
+    fronts: u32,
 }
 
 impl Bounds {
     /// Three eighths of the descriptors, since callers hold a third.
     pub(super) fn of(config: &Config) -> Self {
-        Self { all: (config.sockets * 3 / 8).min(8 * CONNS_MOST) }
+        Self { all: (config.sockets * 3 / 8).min(8 * MOST), fronts: config.settings.fronts }
     }
 
     /// Descriptors that callers may not have.
@@ -99,6 +98,8 @@
     /// Releases that wait for one.
     owed: VecDeque<Id>,
     failures: u32,
+    /// How many connections it is worth; `None` until the first is wanted.
+    spread: Option<Spread>,
     dial_at: Micros,
     /// Since when no connection is up.
     down_since: Option<Micros>,
@@ -218,13 +219,14 @@
     }
 
     /// How many connections a server should have now.
-    fn wanted(&self, server: &Server) -> usize {
+    fn wanted(&self, now: Micros, server: &Server) -> usize {
         let open = server.conns.iter().filter_map(|id| self.conns.get(id)).map(|conn| conn.open.len());
         let busy = open.sum::<usize>() + server.waiting.len();
         match server.listed {
             Some(ServerState::Ready) => {
                 let share = self.bounds.all / self.known.len().max(1);
-                (busy + 1).clamp(CONNS_LEAST, CONNS_MOST.min(share).max(CONNS_LEAST))
+                let spread = server.spread.unwrap_or(Spread::of_fleet(self.bounds.fronts));
+                spread.wanted(now, busy, share)
             }
             // Whatever answers there now is not the process that is gone.
             None => 0,
@@ -239,11 +241,10 @@
         let dialling = server.conns.iter().any(|conn| self.conns.get(conn).is_some_and(|conn| !conn.up));
         let due = now >= server.dial_at || at_once && !dialling;
         let room = self.conns.len() < self.bounds.all || server.conns.is_empty();
-        let wanted = if server.failures > 0 { 1 } else { self.wanted(server) };
+        let wanted = if server.failures > 0 { 1 } else { self.wanted(now, server) };
         // Guards against ends of calls that went down with a connection: their server tells them again, but only on
         // the next connection that is opened, and no set-up may need one for long.
-        let renewed =
-            usize::from(server.renew && server.listed.is_some() && server.conns.len() < 2 * CONNS_MOST);
+        let renewed = usize::from(server.renew && server.listed.is_some() && server.conns.len() < 2 * MOST);
         let missing = wanted.saturating_sub(server.conns.len()).max(renewed).min(2);
         let Some(address) = server.address.filter(|_| due && room) else { return };
         for _ in 0..missing {
@@ -401,11 +402,16 @@
         let now = self.now;
         let Some(conn) = self.servers.remove(now, id) else { return };
         tracing::debug!("{:x}: connection {} not up, refused {refused}", conn.server, id.0);
-        let up = self.servers.any_up(conn.server).is_some();
+        let up = self.servers.up(conn.server).count();
+        let fronts = self.servers.bounds.fronts;
         let Some(server) = self.servers.known.get_mut(&conn.server) else { return };
+        if up > 0 {
+            // It serves, and takes no more.
+            server.spread.get_or_insert(Spread::of_fleet(fronts)).refused(now, up);
+        }
         server.dial_at = now + (REDIAL.0 << server.failures.min(8)).min(REDIAL.1);
         server.failures += 1;
-        if up {
+        if up > 0 {
             return;
         }
         for attempt in std::mem::take(&mut server.waiting) {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -70,6 +70,9 @@
 const RAMP_BURST_S: f64 = 0.3;
 /// ... and a set-up that was saved up and found no call is forgotten after this.
 const RAMP_KEEP: Micros = 2 * SECOND;
+/// What a number took from other fronts is a mean over so many words at the least, and the latest so many.
+const TOLD_LEAST: f64 = 3.0;
+const TOLD_WORDS: f64 = 20.0;
 /// Calls that the order of worth is judged on.
 const RECENT_CALLS: usize = 200;
 /// s. Lag of a customer's arrival rate.
@@ -164,8 +167,8 @@
         sane(self.report.rate).is_some() && sane(self.report.queue).is_some()
     }
 
-    /// What this front tells another of the server.
-    fn word(&self, now: Micros, id: ServerId) -> Word {
+    /// What this front tells another of the server, and of what its number took from here.
+    fn word(&self, now: Micros, id: ServerId, took: Option<f64>) -> Word {
         let age = |at: Micros| if at == 0 { Micros::MAX } else { now.saturating_sub(at) };
         Word {
             key: word::key(id),
@@ -173,6 +176,7 @@
             age: age(self.reported_at),
             seen_wait_s: self.answer.1,
             seen_age: age(self.answer.0),
+            took,
         }
     }
 
@@ -301,6 +305,10 @@
     arrivals: Meter,
     /// Set-ups a second that stood at warm servers, by number: as of the last one, so a pause keeps it.
     carried: BTreeMap<u16, Meter>,
+    /// The same at other fronts, as they told it: the mean, and of how many words.
+    told: BTreeMap<u16, (f64, f64)>,
+    /// When the first tick was.
+    born: Option<Micros>,
     /// Worth of the latest calls.
     recent: VecDeque<f64>,
     /// When a number was dialled first, for as long as its caller may still try.
@@ -329,6 +337,8 @@
             tenants: vec![Meter::default(); settings.tenants.len()],
             arrivals: Meter::default(),
             carried: BTreeMap::new(),
+            told: BTreeMap::new(),
+            born: None,
             recent: VecDeque::new(),
             dialled: BTreeMap::new(),
             ticked_at: None,
@@ -402,6 +412,11 @@
                     let mut named = self.servers.iter_mut().filter(|(id, _)| word::key(**id) == word.key);
                     if let Some((_, server)) = named.next() {
                         server.note_word(told_at, &word);
+                        if let Some(took) = word.took {
+                            let (mean, words) = self.told.entry(server.number).or_default();
+                            *words = (*words + 1.0).min(TOLD_WORDS);
+                            *mean += (took - *mean) / *words;
+                        }
                     }
                 }
             }
@@ -455,6 +470,7 @@
     fn tick(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let dt_s = self.ticked_at.map_or(0.0, |at| seconds(now.saturating_sub(at)));
         self.ticked_at = Some(now);
+        self.born.get_or_insert(now);
         actions.push(Action::Timer { at: now + TICK, token: TOKEN_TICK });
         let ramp = self.settings.ramp_time;
         let cold = self.servers.iter().filter(|(_, server)| server.is_cold(now, ramp));
@@ -468,6 +484,11 @@
         let probing = self.settings.reports == ReportPath::Probes && self.settings.may_probe;
         let probe_every = self.probe_every();
         for (id, server) in &mut self.servers {
+            let warm = server.state == ServerState::Ready && !server.is_cold(now, ramp);
+            if warm && seconds(now.saturating_sub(server.known_at)) >= CARRIED_LAG_S {
+                // Known for long: one that took nothing from here took nought, which is told as well.
+                self.carried.entry(server.number).or_default();
+            }
             let carried = self.carried.get(&server.number).map_or(0.0, |meter| meter.rate);
             server.tick(now, dt_s, f64::from(self.settings.fronts), carried);
             if probing && server.state == ServerState::Ready && now >= server.probe_at {
@@ -491,8 +512,15 @@
         self.tell_at = now + micros(TELL_EVERY_S * if first { drawn } else { 0.5 + drawn });
         let of_rest = chance(&mut self.rng) < REST.1;
         let due = |server: &Server| server.state == ServerState::Ready && (of_rest || !server.is_at_rest());
-        let words = self.servers.iter().filter(|(_, server)| due(server));
-        let payload = word::write(words.map(|(id, server)| server.word(now, *id)), MESSAGE_MAX);
+        // From a place drawn by chance: a message holds a dozen words, and of a longer list those at its end would
+        // never be told of.
+        let from = (chance(&mut self.rng) * self.servers.len() as f64) as usize;
+        let (before, after): (Vec<_>, Vec<_>) =
+            self.servers.iter().enumerate().partition(|(at, _)| *at < from);
+        let all = after.into_iter().chain(before).map(|(_, server)| server);
+        let words = all.filter(|(_, server)| due(server));
+        let took = |server: &Server| self.took(now, server.number);
+        let payload = word::write(words.map(|(id, s)| s.word(now, *id, took(s))), MESSAGE_MAX);
         if let Some(payload) = payload.filter(|_| !first) {
             let to = (chance(&mut self.rng) * f64::from(others)) as u32;
             let to = if to >= self.settings.ordinal { to + 1 } else { to };
@@ -594,20 +622,33 @@
         ((alpha - below) / equal).clamp(0.0, 1.0)
     }
 
+    /// Set-ups a second that a number took from here while warm, once this front has lived long enough to know:
+    /// without the last one's own weight, which at a few set-ups a minute would double the estimate.
+    fn took(&self, now: Micros, number: u16) -> Option<f64> {
+        let lived = now.saturating_sub(self.born.unwrap_or(now));
+        let meter = self.carried.get(&number).filter(|_| seconds(lived) >= CARRIED_LAG_S)?;
+        // The meter began at nought with this front.
+        Some((meter.rate / lagged(seconds(lived), CARRIED_LAG_S) - 1.0 / CARRIED_LAG_S).max(0.0))
+    }
+
     /// Set-ups a second that this front may send to a cold server: its own share of what the server's number
     /// took while warm (servers differ a hundredfold, others are no guide), so that the
     /// fronts together keep to what it can do, whoever has how much of the traffic. A told rate is best.
+    /// Guards against a fleet most of which has just started, which would leave cold servers idle: such a front
+    /// goes by the mean of what others say that they took, those with nothing included.
     fn ramp_rate(&self, now: Micros, server: &Server) -> f64 {
         if let Some(rate) =
             sane(server.report.rate).filter(|_| now.saturating_sub(server.reported_at) <= STALE)
         {
             return rate * self.settings.fall_multiple * RAMP_SHARE / f64::from(self.settings.fronts);
         }
-        // Without the last one's own weight: at a few set-ups a minute it would double the estimate.
         let carried = |meter: &Meter| (meter.rate - 1.0 / CARRIED_LAG_S).max(0.0);
-        let least = self.carried.values().map(carried).fold(f64::INFINITY, f64::min);
+        let met = self.carried.values().filter(|meter| meter.rate > 0.0);
+        let least = met.map(carried).fold(f64::INFINITY, f64::min);
         let own = self.arrivals.read(now, ARRIVAL_LAG_S) / self.servers.len().max(1) as f64;
-        let full = self.carried.get(&server.number).map_or(least.min(own), carried);
+        let young = self.carried.get(&server.number).filter(|meter| meter.rate > 0.0).map(carried);
+        let told = self.told.get(&server.number).filter(|told| told.1 >= TOLD_LEAST).map(|told| told.0);
+        let full = self.took(now, server.number).or(told).or(young).unwrap_or(least.min(own));
         let age = seconds(now.saturating_sub(server.cold_since.unwrap_or(now)));
         let warmth = age / seconds(self.settings.ramp_time.max(1));
         let warmth = self.settings.cold_from + (1.0 - self.settings.cold_from) * warmth.min(1.0);
--- a/src/word.rs
+++ b/src/word.rs
@@ -10,8 +10,8 @@
 const AGE: Micros = 10_000;
 /// An age that is not told, or too old to tell.
 const NO_AGE: u8 = 255;
-/// Most bytes that a word on one server takes: name, kinds, two ages and six values.
-const WORD_MAX: usize = 19;
+/// Most bytes that a word on one server takes: name, kinds, two ages and seven values.
+const WORD_MAX: usize = 21;
 
 /// What one front tells another of one server.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -26,6 +26,8 @@
     pub seen_wait_s: f64,
     /// Its age; `Micros::MAX` where there is none.
     pub seen_age: Micros,
+    /// Set-ups a second that its number took from the teller while warm, where that is known.
+    pub took: Option<f64>,
 }
 
 /// Names a server in four bytes by a fold of its id; two of one list differ in it but for great bad luck.
@@ -42,7 +44,7 @@
         }
         let age = |age: Micros| (age / AGE).min(NO_AGE.into()) as u8;
         let r = &word.report;
-        let told = [r.hold_back, r.wait_s, r.queue, r.rate, r.busy].map(sane);
+        let told = [r.hold_back, r.wait_s, r.queue, r.rate, r.busy, word.took].map(sane);
         let kinds = told.iter().enumerate().map(|(i, v)| u8::from(v.is_some()) << i).sum();
         out.extend(word.key.to_le_bytes());
         out.extend([kinds, age(word.age), age(word.seen_age)]);
@@ -65,13 +67,13 @@
             bytes = rest;
             sane(Some(f32::from_be_bytes([a, b, 0, 0]).into()))
         };
-        let mut told = [None; 5];
+        let mut told = [None; 6];
         for (kind, place) in told.iter_mut().enumerate() {
             if kinds >> kind & 1 == 1 {
                 *place = Some(value()?);
             }
         }
-        let [hold_back, wait_s, queue, rate, busy] = told;
+        let [hold_back, wait_s, queue, rate, busy, took] = told;
         let at = |age: u8| if age == NO_AGE { Micros::MAX } else { Micros::from(age) * AGE };
         words.push(Word {
             key: u32::from_le_bytes([k0, k1, k2, k3]),
@@ -79,6 +81,7 @@
             age: if kinds & 31 == 0 { Micros::MAX } else { at(age) },
             seen_age: at(seen_age),
             seen_wait_s: value()?,
+            took,
         });
     }
     bytes.is_empty().then_some(words)
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -45,6 +45,17 @@
     heard: impl Fn(usize) -> Micros,
     share: impl Fn(usize, Micros) -> f64,
     deaf: impl Fn(usize, Micros) -> bool,
+) -> (f64, usize) {
+    replaced_as_fronts_restart(heard, share, deaf, |_| false)
+}
+
+/// The same, while the fronts of which `anew` says so are killed at the moment of the cold start and come back with
+/// nothing. What fronts tell each other arrives.
+fn replaced_as_fronts_restart(
+    heard: impl Fn(usize) -> Micros,
+    share: impl Fn(usize, Micros) -> f64,
+    deaf: impl Fn(usize, Micros) -> bool,
+    anew: impl Fn(usize) -> bool,
 ) -> (f64, usize) {
     let mut fronts = fleet(250, &[line(10, 0)]);
     let (mut at, start) = (Vec::new(), START);
@@ -53,6 +64,11 @@
     let mut waiting = vec![0u32; 250];
     for step in 0..1_100u64 {
         let now = S + step * 50 * MS;
+        for (i, front) in fronts.iter_mut().enumerate().filter(|(i, _)| now == start && anew(*i)) {
+            let gone = Entry { state: ServerState::Draining, ..line(10, 0) };
+            *front = Front::seeded(fleet_settings(250, i as u32), &[gone], 9_000 + i as u64);
+        }
+        let mut on_their_way = Vec::new();
         for (i, front) in fronts.iter_mut().enumerate() {
             due[i] += 0.3 * share(i, now) * 0.05;
             while due[i] >= 1.0 {
@@ -73,6 +89,7 @@
             for _ in 0..std::mem::take(&mut waiting[i]) {
                 actions.extend(front.call().1);
             }
+            on_their_way.extend(messages(&actions).into_iter().map(|(to, payload)| (i as u32, to, payload)));
             for action in &actions {
                 if let Action::Send { call, server, .. } = action {
                     if *server == 20 {
@@ -82,6 +99,9 @@
                 }
             }
         }
+        for (from, to, payload) in on_their_way {
+            fronts[to as usize].event(Event::Peer { from, payload });
+        }
     }
     (worst_window(&mut at), at.len())
 }
@@ -124,6 +144,37 @@
     assert!(most < 0.95, "{most} of the limit in a surge");
 }
 
+#[test]
+fn fronts_that_were_just_killed_ramp_a_cold_server_by_what_the_others_took() {
+    // Seven in ten know nothing of the machine before: without the others' word the cold one idles through its ramp.
+    let killed = |i: usize| i % 10 < 7;
+    let (most, all) = replaced_as_fronts_restart(|_| 0, |_, _| 1.0, |_, _| false, killed);
+    assert!(most < 0.9, "{most} of the limit");
+    let (_, with_none_killed) = replaced(|_| 0, |_, _| 1.0, |_, _| false);
+    assert!(all as f64 > 0.7 * with_none_killed as f64, "{all} set-ups, {with_none_killed} with none killed");
+    // Traffic that sits at a few fronts, most of which died: the mean is over those with nothing as well.
+    let few = |i: usize, now: Micros| match i % 10 {
+        0 if now < START => 10.0,
+        _ if now < START => 0.0,
+        _ => 1.0,
+    };
+    let (most, _) = replaced_as_fronts_restart(|_| 0, few, |_, _| false, killed);
+    assert!(most < 1.0, "{most} of the limit when traffic moves");
+}
+
+#[test]
+fn of_a_long_list_every_server_is_told_of() {
+    // Guards against words that go in the order of the list: a message holds a dozen, and the last were never told of.
+    let servers: Vec<_> = (0..40).map(|n| line(u64::from(n) * 1_000 + 1, n)).collect();
+    let mut front = Front::seeded(fleet_settings(300, 0), &servers, 5);
+    let told: Vec<_> = messages(&front.pass(120 * S)).into_iter().map(|(_, payload)| payload).collect();
+    for server in &servers {
+        let key = (server.server as u32).to_le_bytes();
+        let of_it = told.iter().filter(|payload| payload.windows(4).any(|bytes| bytes == key)).count();
+        assert!(of_it > 5, "server {} is named in {of_it} of {} messages", server.number, told.len());
+    }
+}
+
 /// Mean refused share over time of 100 fronts with sparse reports: each hears of the server itself every
 /// four seconds. It waits 1.5 s for ten seconds and nothing from then on.
 fn sparse(with_messages: bool) -> (f64, f64) {
