What all fronts do together is summed and judged from the record

Need: each front may keep every rule and the fleet still do harm; nothing summed over fronts what servers, the net and cold machines see. Change: audit/sums.rs: connections open and opened at a server, set-ups for each first try, datagrams between fronts, the most that any server was sent in a second over what it can do, a cold server's part of what pushes it over, and after each fault the time until the share of calls that stand is within 2% of before. Relays put connections and datagrams on record, the course its faults.

--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -10,10 +10,12 @@
 mod record;
 mod rules;
 mod service;
+mod sums;
 mod verdict;
 
 pub use loss::REPLY_GAP;
 pub use record::{monotonic, read_record, write_record, Line, Moment, RecordError, Recorder};
 pub use rules::{rules, Terms, SLACK};
 pub use service::{service, ClassTerms, Latency, Service, Shares};
+pub use sums::{sums, Recovery, ServerTerms, SumTerms, Sums, NEAR};
 pub use verdict::{Breach, Excuse, Verdict};
--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -83,6 +83,14 @@
     /// A front's set-up of a call, or without one its release of an attempt, entered a way to a server; read there
     /// later.
     Sent { server: u16, front: u32, call: Option<String>, attempt: String },
+    /// A connection from a front to a server came up on the net between them.
+    Linked { server: u16, front: u32 },
+    /// Such a connection is no more, on the net.
+    Parting { server: u16, front: u32 },
+    /// A datagram from one front to another entered the net.
+    Word { from: u32, to: u32, bytes: usize },
+    /// A fault of the day begins, and is over at a time.
+    Fault { what: String, over: u64 },
 }
 
 /// The machine's monotonic clock, in microseconds: the same for all its processes, whatever their own clocks say.
--- a/crates/audit/src/rules.rs
+++ b/crates/audit/src/rules.rs
@@ -200,7 +200,12 @@
                 }
             }
             Moment::Asks { .. } | Moment::Datagram { .. } => self.losses.take(at, moment),
-            Moment::Cut { .. } | Moment::End => {}
+            Moment::Cut { .. }
+            | Moment::End
+            | Moment::Linked { .. }
+            | Moment::Parting { .. }
+            | Moment::Word { .. }
+            | Moment::Fault { .. } => {}
         }
     }
 
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -117,7 +117,7 @@
 
 /// Keeps the record where it was asked for, or where a rule broke; tells where, and how to play the day again.
 fn keep(args: &Args, day: &Day, outcome: &Outcome) -> miette::Result<()> {
-    let kept = outcome.verdict.kept();
+    let kept = outcome.good();
     let path = match &args.record {
         Some(path) if args.seeds == 1 => path.clone(),
         _ if kept => return Ok(()),
@@ -132,7 +132,7 @@
     write_record(&outcome.lines, file).into_diagnostic().wrap_err_with(|| path.display().to_string())?;
     if !kept {
         println!(
-            "  a rule broke: seed {}; the record is {}; again with: {}",
+            "  a rule broke or a bound was passed: seed {}; the record is {}; again with: {}",
             day.seed,
             path.display(),
             again(args, day)
@@ -163,7 +163,7 @@
                 let outcome = baydrift_day::run_virtual(&day, |_, _| {}).into_diagnostic()?;
                 let mut sum = sum.lock().unwrap_or_else(PoisonError::into_inner);
                 sum.add(&outcome);
-                if !outcome.verdict.kept() {
+                if !outcome.good() {
                     keep(args, &day, &outcome)?;
                     print!("{}", baydrift_day::table(&outcome.verdict, &outcome.service));
                 }
@@ -200,7 +200,7 @@
     fn add(&mut self, outcome: &Outcome) {
         let verdict = &outcome.verdict;
         self.days += 1;
-        self.broken += u64::from(!verdict.kept());
+        self.broken += u64::from(!outcome.good());
         self.calls += verdict.calls;
         self.answered += verdict.answered;
         self.set_ups += verdict.set_ups;
@@ -275,6 +275,9 @@
         day.seed
     );
     print!("{}", baydrift_day::table(&outcome.verdict, &outcome.service));
+    if args.processes || !outcome.sums.passed.is_empty() {
+        print!("{}", baydrift_day::sums_table(&outcome.sums));
+    }
     keep(&args, &day, &outcome)?;
     for (front, snapshot) in outcome.fronts.iter().enumerate() {
         let held: Vec<_> = snapshot.held_back.iter().filter(|(_, n)| *n > 0).collect();
@@ -284,7 +287,7 @@
         }
     }
     outcome.crashed.iter().for_each(|what| println!("  {what}"));
-    let good = outcome.verdict.kept() && outcome.crashed.is_empty();
+    let good = outcome.good();
     match logs.filter(|_| args.logs.is_none()) {
         Some(logs) if good => std::fs::remove_dir_all(&logs).into_diagnostic()?,
         Some(logs) => println!("  the processes' logs and configurations are in {}", logs.display()),
--- a/crates/day/src/bench.rs
+++ b/crates/day/src/bench.rs
@@ -169,6 +169,7 @@
         datagrams_lost: 0.0,
         heeds: false,
         net: baydrift_emulator::WaySpec::default(),
+        bounds: crate::script::Bounds::default(),
         servers: Servers {
             rates: file.servers.iter().map(|s| scale * s.speed / work_s).collect(),
             release,
--- a/crates/day/src/cast.rs
+++ b/crates/day/src/cast.rs
@@ -4,12 +4,12 @@
 use std::net::SocketAddr;
 
 use baydrift::interface::Report;
-use baydrift_audit::ClassTerms;
+use baydrift_audit::{ClassTerms, ServerTerms, SumTerms};
 use baydrift_config::Config;
 use baydrift_emulator::{CallerSpec, FarEndSpec, Flow, Offers, ProcessorSpec, ServerSpec, TextSpec};
 
 use crate::error::DayError;
-use crate::script::{Day, What};
+use crate::script::{Bounds, Day, What};
 
 /// The list service's word at the fronts.
 pub(crate) const TOKEN: &str = "list-service-of-the-day";
@@ -235,6 +235,21 @@
     day.classes.iter().map(of).collect()
 }
 
+/// What all fronts may do together.
+pub(crate) fn sum_terms(day: &Day) -> SumTerms {
+    let s = &day.servers;
+    let of = |rate: &f64| ServerTerms {
+        rate: *rate,
+        cold_from: s.cold_from,
+        ramp: s.ramp,
+        fall_multiple: s.fall_multiple,
+        fall_time: s.fall_time,
+    };
+    let Bounds { open, opened, attempts, words, overshoot, back_within } = day.bounds;
+    let servers = s.rates.iter().map(of).collect();
+    SumTerms { servers, fronts: day.fronts, open, opened, attempts, words, overshoot, back_within }
+}
+
 /// The same flows at a share of their rates.
 pub(crate) fn scaled(flows: &[Flow], share: f64) -> Vec<Flow> {
     flows.iter().map(|flow| Flow { rate: flow.rate * share, ..flow.clone() }).collect()
--- a/crates/day/src/course.rs
+++ b/crates/day/src/course.rs
@@ -113,7 +113,11 @@
         while let Some(entry) = self.plan.first_entry().filter(|entry| entry.key().0 <= now) {
             match entry.remove() {
                 Then::Begin(trouble) => {
-                    progress((now - self.begin) as f64 / 1e6, &format!("{:?}", trouble.what));
+                    let what = format!("{:?}", trouble.what);
+                    progress((now - self.begin) as f64 / 1e6, &what);
+                    if !trouble.what.is_demand() {
+                        hands.record(Moment::Fault { what, over: now + trouble.lasts() });
+                    }
                     self.begin(now, &trouble, hands);
                 }
                 Then::End(what) => self.finish(&what, hands),
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -23,5 +23,5 @@
 pub use processes::{play_role, run_processes, Program, RoleError};
 pub use rounds::{rounds, RoundsError, RoundsSpec, RoundsTally};
 pub use run::{run, Outcome};
-pub use script::{parse, Class, Day, Party, Policy, Publisher, Servers, Trouble, What};
-pub use table::table;
+pub use script::{parse, Bounds, Class, Day, Party, Policy, Publisher, Servers, Trouble, What};
+pub use table::{sums_table, table};
--- a/crates/day/src/processes/mod.rs
+++ b/crates/day/src/processes/mod.rs
@@ -108,7 +108,9 @@
     let mut pairs = Vec::new();
     for a in 0..day.fronts as usize {
         for b in a + 1..day.fronts as usize {
-            let relay = Datagrams::start(day.net, salt(2, a, b), recorder.clone(), own.clone()).await?;
+            let relay =
+                Datagrams::start(day.net, salt(2, a, b), [a as u32, b as u32], recorder.clone(), own.clone())
+                    .await?;
             others[a].push((b as u32, relay.addr));
             others[b].push((a as u32, relay.addr));
             pairs.push((a, b, relay));
--- a/crates/day/src/processes/net.rs
+++ b/crates/day/src/processes/net.rs
@@ -179,6 +179,9 @@
         return;
     };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    if let Some(Between { front, server }) = inside.between {
+        inside.recorder.put(Moment::Linked { server, front });
+    }
     let way = |salt: u64| Way::new(inside.spec, inside.seed ^ count.rotate_left(20) ^ salt);
     let tap = inside.between.map(|between| Tap { between, codec: Codec::default(), bytes: BytesMut::new() });
     let mut broken = shape.clone();
@@ -207,6 +210,7 @@
     // reads it any more, and its connection's end is all that its front is told.
     if let Some(Between { front, server }) = inside.between {
         inside.recorder.put(Moment::Unlinked { server, front });
+        inside.recorder.put(Moment::Parting { server, front });
     }
 }
 
@@ -341,6 +345,7 @@
     pub(crate) async fn start(
         spec: WaySpec,
         seed: u64,
+        fronts: [u32; 2],
         recorder: Arc<Recorder>,
         own: Arc<Own>,
     ) -> std::io::Result<Self> {
@@ -367,6 +372,7 @@
                         let (Ok((size, from)), Some(ends)) = (received, *known.borrow()) else { continue };
                         let Some(side) = ends.iter().position(|end| *end == from) else { continue };
                         counts.fetch_add(1, Ordering::Relaxed);
+                        recorder.put(Moment::Word { from: fronts[side], to: fronts[1 - side], bytes: size });
                         if *share.borrow() != lost_now {
                             lost_now = *share.borrow();
                             losing = Way::new(WaySpec { lost: lost_now, ..WaySpec::default() }, seed ^ order);
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use baydrift::interface::Micros;
-use baydrift_audit::{rules, service, Line, Moment, Recorder, Service, Terms, Verdict};
+use baydrift_audit::{rules, service, sums, Line, Moment, Recorder, Service, Sums, Terms, Verdict};
 use baydrift_config::Config;
 use baydrift_emulator::{Command, Fault, Offers};
 use baydrift_front::{Addrs, Bound, Snapshot};
@@ -15,7 +15,8 @@
 
 use crate::baseline::RoundRobin;
 use crate::cast::{
-    callers, class_terms, config_of, far_ends, host_of, linked, server_spec, sessions, texts, usual, TOKEN,
+    callers, class_terms, config_of, far_ends, host_of, linked, server_spec, sessions, sum_terms, texts,
+    usual, TOKEN,
 };
 use crate::course::{Course, Hands, Listed, Pool};
 use crate::error::DayError;
@@ -30,12 +31,21 @@
     pub verdict: Verdict,
     /// Service.
     pub service: Service,
+    /// What all fronts did together.
+    pub sums: Sums,
     /// What each front counted, for comparison; nothing above rests on it.
     pub fronts: Vec<Snapshot>,
     /// What went wrong with processes: ended unasked, or stayed behind. Empty where all ran as they should.
     pub crashed: Vec<String>,
 }
 
+impl Outcome {
+    /// Whether no rule broke, no bound was passed and no process did what nobody asked of it.
+    pub fn good(&self) -> bool {
+        self.verdict.kept() && self.sums.passed.is_empty() && self.crashed.is_empty()
+    }
+}
+
 const SECOND: Micros = 1_000_000;
 
 /// A front on a thread and runtime of its own, so that it can stand still alone.
@@ -155,6 +165,7 @@
         verdict: rules(&lines, Terms::default()),
         service: service(&lines, &class_terms(day), &names),
         fronts,
+        sums: sums(&lines, &sum_terms(day)),
         crashed: Vec::new(),
         lines,
     }
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -57,6 +57,8 @@
     pub classes: Vec<Class>,
     /// Publishers.
     pub publishers: Vec<Publisher>,
+    /// Bounds on what all fronts do together.
+    pub bounds: Bounds,
     /// Troubles.
     pub troubles: Vec<Trouble>,
 }
@@ -71,6 +73,23 @@
     }
 }
 
+/// Bounds on what all fronts do together; what has none is told and not judged.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct Bounds {
+    /// Connections that one server holds at once.
+    pub open: Option<usize>,
+    /// Connections opened to one server within any second.
+    pub opened: Option<usize>,
+    /// Set-ups for each first try.
+    pub attempts: Option<f64>,
+    /// Datagrams between fronts for each front within any second.
+    pub words: Option<f64>,
+    /// Set-ups at one server within any second, over what it can do.
+    pub overshoot: Option<f64>,
+    /// Time after a fault until service is back.
+    pub back_within: Option<Micros>,
+}
+
 /// All servers; `rates` has one entry for each.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Servers {
@@ -155,6 +174,21 @@
     pub what: What,
 }
 
+impl Trouble {
+    /// Until all that it took away is there again, as far as the script says.
+    pub fn lasts(&self) -> Micros {
+        match &self.what {
+            What::Drain { back_after, .. } => self.span + back_after.unwrap_or(0),
+            What::Die { back_after, .. }
+            | What::Kill { back_after, .. }
+            | What::Restart { back_after, .. } => back_after.unwrap_or(0),
+            What::Crashing { times, .. } => Micros::from(*times) * 500 * MS,
+            What::Reset { .. } | What::Cut { .. } => 0,
+            _ => self.span,
+        }
+    }
+}
+
 /// Kinds of trouble.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[allow(missing_docs)]
@@ -305,6 +339,7 @@
         servers: Servers::default(),
         classes: Vec::new(),
         publishers: Vec::new(),
+        bounds: Bounds::default(),
         troubles: Vec::new(),
     };
     for node in document.nodes() {
@@ -314,6 +349,7 @@
             "servers" => read_servers(&node, &mut day.servers),
             "calls" => read_calls(&node, &mut day),
             "net" => day.net = read_net(&node),
+            "bounds" => day.bounds = read_bounds(&node),
             "class" => day.classes.push(read_class(&node)),
             "publisher" => day.publishers.push(Publisher {
                 name: node.name("the publisher's name"),
@@ -368,6 +404,18 @@
         }
     }
 
+    /// Whether it is callers that change, and nothing fails.
+    pub fn is_demand(&self) -> bool {
+        matches!(
+            self,
+            Self::Burst { .. }
+                | Self::Hot { .. }
+                | Self::Flood { .. }
+                | Self::Redials { .. }
+                | Self::Reconnect { .. }
+        )
+    }
+
     /// Whether it needs processes of their own, or a net between them.
     pub fn needs_processes(&self) -> bool {
         matches!(
@@ -477,6 +525,19 @@
     }
 }
 
+fn read_bounds(node: &Node<'_>) -> Bounds {
+    let whole = |key| node.whole(key, 0..=1_000_000).map(|n| n as usize);
+    let number = |key| node.number(key, 0.0..=1e6);
+    Bounds {
+        open: whole("open-connections"),
+        opened: whole("new-connections-per-second"),
+        attempts: number("attempts"),
+        words: number("datagrams-per-second"),
+        overshoot: number("overshoot"),
+        back_within: node.time("back-within", 0..=HOUR),
+    }
+}
+
 fn read_class(node: &Node<'_>) -> Class {
     let deadline = node.time("deadline", 100 * MS..=HOUR).unwrap_or(9 * S);
     Class {
--- a/crates/day/src/table.rs
+++ b/crates/day/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 
-use baydrift_audit::{Service, Shares, Verdict};
+use baydrift_audit::{Recovery, Service, Shares, Sums, Verdict};
 
 const RULES: [&str; 6] = [
     "at most 5 attempts",
@@ -30,6 +30,28 @@
     }
 }
 
+/// What all fronts did together, and what of it passed its bound.
+pub fn sums_table(sums: &Sums) -> String {
+    let mut text = String::new();
+    let _ = writeln!(
+        text,
+        "\n  together: {} connections open at one server at most, {} opened in a second; {:.2} set-ups for each first \
+         try; {:.1} datagrams a front and second;\n  at most {:.2} of what a server can do in a second, and {:.2} of what \
+         pushes a cold one over",
+        sums.open, sums.opened, sums.attempts, sums.words, sums.overshoot, sums.cold
+    );
+    for Recovery { what, over, back } in &sums.recoveries {
+        let back = back.map_or("not seen before the next fault or the end".into(), |us| {
+            format!("{:.1} s", us as f64 / 1e6)
+        });
+        let _ = writeln!(text, "  over at {:5.1} s, service back after {back}: {what}", *over as f64 / 1e6);
+    }
+    for passed in &sums.passed {
+        let _ = writeln!(text, "  PASSED A BOUND: {passed}");
+    }
+    text
+}
+
 /// Rules, service by class and publisher, and latency percentiles.
 pub fn table(verdict: &Verdict, service: &Service) -> String {
     let mut text = String::new();
