--- a/crates/audit/src/sums.rs
+++ b/crates/audit/src/sums.rs
@@ -229,8 +229,9 @@
         Moment::Fault { what, over } => Some((line.at, what, *over)),
         _ => None,
     });
-    let faults: Vec<_> = faults.collect();
-    let Some(first) = faults.first().map(|fault| fault.0) else { return Vec::new() };
+    let mut faults: Vec<_> = faults.collect();
+    faults.sort_by_key(|fault| fault.2);
+    let Some(first) = faults.iter().map(|fault| fault.0).min() else { return Vec::new() };
     let share = |all: &[Second]| {
         let offered: usize = all.iter().map(|s| s.offered).sum();
         (offered > 0).then(|| all.iter().map(|s| s.stood).sum::<usize>() as f64 / offered as f64)
--- a/crates/emulator/src/text.rs
+++ b/crates/emulator/src/text.rs
@@ -6,6 +6,7 @@
 use baydrift::interface::Micros;
 use baydrift_audit::Moment;
 use baydrift_exchange::{Do, Exchange, Heard, Settings};
+use baydrift_h248::code::BEFORE_SERVICE_CHANGE;
 use baydrift_h248::{parse, Body, ReplyBody, Transaction};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -332,6 +333,11 @@
             ReplyBody::Actions(actions) => actions.first().map(|action| action.context),
             ReplyBody::Error(_) => None,
         };
+        // The front's process is another one, which knows no client: it is greeted anew (RFC 3525, section 11.5).
+        // Guards against callers of text that are turned away for ever after a front was killed.
+        if error == Some(BEFORE_SERVICE_CHANGE) {
+            (self.registered, self.greeted) = (false, false);
+        }
         // The record has one set of codes for both protocols.
         let code = match error {
             None => 2001,
