Faults of processes in virtual time; a text call said at a front's start is refused

Change: emulator/world/faults.rs: fronts that are killed and start anew, ways severed by direction, resets, lists that come again. Sent set-ups are on record as they enter a severed way, as on processes. It is refused at once now, with the rest of the guard as advice; a marked one (T flag) waits as before, since its caller releases it. 2. The stand-in's text callers said a set-up again after they had given it up, and greeted a front that lost them as restarted, so that late copies were executed. 3. The model: a dead front could stand still and read later.

--- a/crates/audit/src/rules.rs
+++ b/crates/audit/src/rules.rs
@@ -191,7 +191,9 @@
             // What counts is when a front sent: a way that holds what it carries may give it on much later, when it
             // was given up long before.
             Moment::Sent { server, front, call: Some(call), attempt } => {
-                self.set_up(at, *server, *front, call, attempt);
+                if !self.attempts.contains_key(attempt) {
+                    self.set_up(at, *server, *front, call, attempt);
+                }
             }
             Moment::Sent { call: None, attempt, .. } => self.end(at, attempt, true),
             Moment::Again { call, .. } => {
--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -17,7 +17,7 @@
 use crate::timers::{Timer, Timers};
 use crate::types::{
     AttemptEnd, AttemptId, Final, Input, Known, LinkId, LinkState, Offer, Output, Process, Refusal,
-    ReleaseResult, Request, Session,
+    ReleaseResult, Request, Said, Session,
 };
 
 /// The engine answers a call itself so long before its caller gives up, should the module not have.
@@ -214,6 +214,11 @@
         })
     }
 
+    /// The process starts now, by a clock that did not start with it. Otherwise its first input is its start.
+    pub fn starts(&mut self, now: Micros) {
+        self.started = Some(now);
+    }
+
     /// Takes one input, at a time that never goes back, then lets time pass; appends what is to be done.
     pub fn handle(&mut self, now: Micros, input: Input<P>, out: &mut Vec<Output<P>>) {
         self.hear(now, input, out);
@@ -464,9 +469,23 @@
             self.counts.forgotten += self.memory.put(self.now, session.clone(), answer);
             return out.push(Output::Answer { request: *request, session: session.clone(), answer });
         }
+        let unsure_for = self.sure_at().saturating_sub(self.now);
+        if offer.said == Said::Perhaps && unsure_for > 0 {
+            // It cannot wait as a marked one does: its caller may leave meanwhile, and nobody would hear of it.
+            let answer = Final::Refused { retry_after: unsure_for, why: Refusal::JustStarted };
+            self.counts.refused += 1;
+            self.counts.forgotten += self.memory.put(self.now, session.clone(), answer);
+            return out.push(Output::Answer { request: *request, session: session.clone(), answer });
+        }
         self.take(offer);
     }
 
+    /// From then on no process before this one can have a call out: the guard after its start, since an end that nobody
+    /// here saw is as sure as a reset is.
+    fn sure_at(&self) -> Micros {
+        self.started.unwrap_or(self.now).saturating_add(self.guard.release_guard())
+    }
+
     /// A new call, within all bounds.
     fn take(&mut self, offer: Offer<P>) {
         let id = self.new_call_id();
@@ -491,9 +510,9 @@
             was_cut: offer.was_cut,
         };
         // Guards against a process that was killed with this call out, and came back at once: the one before may
-        // have set it up until it ended, and its end is as sure as a reset is.
-        let sure_at = self.started.unwrap_or(self.now).saturating_add(self.guard.release_guard());
-        if offer.repeated && self.now < sure_at {
+        // have set it up until it ended.
+        let sure_at = self.sure_at();
+        if offer.said == Said::Again && self.now < sure_at {
             self.timers.set(sure_at, Timer::Sure(id));
             if let Some(held) = self.calls.get_mut(&id) {
                 held.untold = Some((self.now, call));
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -56,5 +56,5 @@
 pub use engine::{Counts, Engine, EngineError, Limits, Policy};
 pub use types::{
     AttemptEnd, AttemptId, Final, Input, Known, LinkId, LinkState, Offer, Output, Process, Refusal,
-    ReleaseResult, Request, Session,
+    ReleaseResult, Request, Said, Session,
 };
--- a/crates/call/src/types.rs
+++ b/crates/call/src/types.rs
@@ -52,11 +52,22 @@
     /// It stood, was cut and comes again.
     pub was_cut: bool,
     /// It may have been said before, perhaps to a process that ran here before this one.
-    pub repeated: bool,
+    pub said: Said,
     /// What the driver wants back with each set-up; dropped with the final answer.
     pub payload: P,
 }
 
+/// Whether an offer may have been made to a process that ran here before this one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Said {
+    /// It is made for the first time.
+    Once,
+    /// Its client marks it as made before. It says so when its caller leaves.
+    Again,
+    /// Nobody can tell, and nothing is said when its caller leaves.
+    Perhaps,
+}
+
 /// How an attempt ended without standing.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AttemptEnd {
@@ -217,6 +228,8 @@
     Bound,
     /// The front stops.
     Stopping,
+    /// The front has just started, and cannot know whether the call is out already.
+    JustStarted,
 }
 
 /// The final answer to a call.
--- a/crates/call/tests/calls.rs
+++ b/crates/call/tests/calls.rs
@@ -5,7 +5,7 @@
 use baydrift::interface::{ListKind, Note, Outcome, Report, ServerState};
 use baydrift_call::guard::Breach;
 use baydrift_call::{
-    AttemptEnd, Final, Input, Known, Limits, LinkId, LinkState, Output, Process, Refusal, ReleaseResult,
+    AttemptEnd, Final, Input, Known, Limits, LinkId, LinkState, Output, Process, Refusal, ReleaseResult, Said,
 };
 use common::*;
 
@@ -92,6 +92,14 @@
     let out = w.input(Input::Released { session: session(3), request: request(1, 50) });
     assert_eq!(answers(&out).len(), 1);
     assert_eq!(set_ups(&w.pass(5 * S)), 0);
+    // One of which nobody can tell, and whose caller would leave without a word, is refused at once; a copy gets
+    // the same answer, also later.
+    let mut w = World::new(Limits::default());
+    let refused = Final::Refused { retry_after: 300 * MS, why: Refusal::JustStarted };
+    assert_eq!(answers(&w.said(5, Said::Perhaps)), [refused]);
+    assert_eq!(set_ups(&w.pass(5 * S)), 0);
+    assert_eq!(answers(&w.said(5, Said::Perhaps)), [refused]);
+    assert!(set_up(&w.said(6, Said::Perhaps)).is_some());
     // Long after the start there is nothing to wait for.
     assert!(set_up(&w.repeat(4)).is_some());
 }
--- a/crates/call/tests/common/mod.rs
+++ b/crates/call/tests/common/mod.rs
@@ -8,7 +8,8 @@
     Class, Entry, ListKind, Micros, Repeat, Report, ReportPath, ServerState, Settings,
 };
 use baydrift_call::{
-    AttemptId, Engine, Final, Input, Limits, LinkId, LinkState, Offer, Output, Process, Request, Session,
+    AttemptId, Engine, Final, Input, Limits, LinkId, LinkState, Offer, Output, Process, Request, Said,
+    Session,
 };
 
 pub const MS: Micros = 1_000;
@@ -68,7 +69,7 @@
         gives_up_in: 3 * S,
         redial: None,
         was_cut: false,
-        repeated: false,
+        said: Said::Once,
         payload: id,
     }
 }
@@ -131,8 +132,12 @@
 
     /// A call that its client marks as said before.
     pub fn repeat(&mut self, id: u32) -> Vec<Output<u32>> {
+        self.said(id, Said::Again)
+    }
+
+    pub fn said(&mut self, id: u32, said: Said) -> Vec<Output<u32>> {
         let offer = offered(id, request(1, u64::from(id)), 0);
-        self.input(Input::Offered(Offer { repeated: true, ..offer }))
+        self.input(Input::Offered(Offer { said, ..offer }))
     }
 
     pub fn offer(&mut self, id: u32) -> Vec<Output<u32>> {
--- a/crates/cli/benches/cost.rs
+++ b/crates/cli/benches/cost.rs
@@ -564,7 +564,7 @@
                     gives_up_in: 3_000_000,
                     redial: None,
                     was_cut: false,
-                    repeated: false,
+                    said: baydrift_call::Said::Once,
                     payload: (),
                 }),
                 &mut out,
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -59,6 +59,9 @@
     /// Troubles drawn by the seed instead of the script's.
     #[arg(long)]
     drawn: bool,
+    /// Draws faults of processes, as --processes does: the same seed then plays the same schedule in virtual time.
+    #[arg(long, requires = "drawn")]
+    fleet: bool,
 }
 
 fn load(args: &Args) -> miette::Result<Day> {
@@ -85,7 +88,7 @@
 /// The day that is played with a seed.
 fn of_seed(args: &Args, day: &Day, seed: u64) -> Day {
     let day = Day { seed, ..day.clone() };
-    match (args.drawn, args.processes) {
+    match (args.drawn, args.processes || args.fleet) {
         (false, _) => day,
         (true, false) => baydrift_day::drawn(&day),
         (true, true) => baydrift_day::drawn_for_processes(&day),
@@ -107,6 +110,7 @@
         (args.round_robin, "--round-robin"),
         (args.heeds, "--heeds"),
         (args.drawn, "--drawn"),
+        (args.fleet, "--fleet"),
         (args.in_virtual_time, "--virtual"),
         (args.processes, "--processes"),
     ];
--- a/crates/day/src/emulated.rs
+++ b/crates/day/src/emulated.rs
@@ -3,14 +3,14 @@
 use baydrift::interface::{Micros, ServerState};
 use baydrift_audit::Moment;
 use baydrift_desk::{PoolEntry, PoolList};
-use baydrift_emulator::{Command, Fault, Offers, Roughness, World, WorldSpec};
+use baydrift_emulator::{Command, Fault, Offers, Place, Roughness, World, WorldSpec};
 use baydrift_front::{FrontError, Snapshot};
 
 use crate::cast::{callers, config_of, far_ends, host_of, linked, server_spec, sessions, texts, usual};
-use crate::course::{Course, Hands, Listed, Pool};
+use crate::course::{Course, Hands, Listed, Pool, Process};
 use crate::error::DayError;
 use crate::run::{aftermath, outcome, policy_of, Outcome};
-use crate::script::Day;
+use crate::script::{Day, Party, Policy};
 
 /// Server links come up before the first call does.
 const WARM_UP: Micros = 200_000;
@@ -19,8 +19,25 @@
     world: World,
     version: u64,
     fronts: usize,
+    /// Kills still to come, and of which front.
+    crashes: Vec<(Micros, usize)>,
 }
 
+impl Stage {
+    /// Runs until a time, with the kills on the way.
+    fn run_until(&mut self, until: Micros) {
+        while let Some((at, front)) = self.crashes.first().copied().filter(|(at, _)| *at <= until) {
+            self.crashes.remove(0);
+            self.world.run_until(at);
+            self.world.kill(front, Some(0));
+        }
+        self.world.run_until(until);
+    }
+}
+
+/// A front that crashes again and again serves so long each time.
+const CRASH_EVERY: Micros = 400_000;
+
 impl Hands for Stage {
     fn command(&mut self, server: usize, command: Command) {
         self.world.command(server, command);
@@ -72,6 +89,27 @@
     fn record(&mut self, moment: Moment) {
         self.world.record(moment);
     }
+
+    fn process(&mut self, trouble: Process) {
+        let place = |party| match party {
+            Party::Front(front) => Place::Front(front),
+            Party::Server(server) => Place::Server(server),
+            Party::List => Place::List,
+        };
+        match trouble {
+            // In virtual time a process that is told to end is killed: an orderly stop is the coat's.
+            Process::Stop { front, back_after, .. } => self.world.kill(front, back_after),
+            Process::Crash { front, times } => {
+                self.crashes
+                    .extend((0..times).map(|n| (self.world.now() + u64::from(n) * CRASH_EVERY, front)));
+                self.crashes.sort_unstable();
+            }
+            // It reads nothing either on processes; here it answers nothing.
+            Process::Freeze { server, frozen } => self.world.command(server, Command::Hang(frozen)),
+            Process::Sever { from, to, severed } => self.world.sever(place(from), place(to), severed),
+            Process::Reset { server } => self.world.reset(server),
+        }
+    }
 }
 
 /// Plays a day in virtual time; equal days give equal records, to the byte.
@@ -79,7 +117,9 @@
 /// # Errors
 /// Where the fronts' configuration cannot be made of the script.
 pub fn run_virtual(day: &Day, mut progress: impl FnMut(f64, &str)) -> Result<Outcome, DayError> {
-    day.without_processes()?;
+    if day.policy == Policy::RoundRobin {
+        day.without_processes()?;
+    }
     let addrs: Vec<_> = (0..day.servers.rates.len())
         .map(|number| std::net::SocketAddr::from(([127, 0, 0, 1], 20_000 + number as u16)))
         .collect();
@@ -103,18 +143,18 @@
         roughness: Roughness::default(),
     });
     let world = world.map_err(FrontError::Engine)?;
-    let mut stage = Stage { world, version: 0, fronts: day.fronts as usize };
+    let mut stage = Stage { world, version: 0, fronts: day.fronts as usize, crashes: Vec::new() };
     stage.world.run_until(WARM_UP);
     stage.world.begin();
     let mut course = Course::new(day, WARM_UP);
     while stage.world.now() < course.end() {
-        stage.world.run_until(course.next());
+        stage.run_until(course.next());
         let now = stage.world.now();
         course.act(now, &mut stage, &mut progress);
     }
     course.close(&mut stage);
     let end = stage.world.now() + aftermath(day);
-    stage.world.run_until(end);
+    stage.run_until(end);
     let snapshots = (0..stage.fronts).filter_map(|front| {
         let desk = stage.world.desk(front)?;
         Some(Snapshot {
--- a/crates/desk/src/commands.rs
+++ b/crates/desk/src/commands.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use baydrift::interface::Micros;
-use baydrift_call::{Final, Input, LinkId, Offer, ReleaseResult, Request, Session};
+use baydrift_call::{Final, Input, LinkId, Offer, ReleaseResult, Request, Said, Session};
 use baydrift_diameter::credit::{self, Ccr, Ends, RequestType};
 use baydrift_diameter::{dict, Avp, Fault};
 use baydrift_exchange::{Do, Heard, Turn};
@@ -412,7 +412,7 @@
             redial: None,
             was_cut: false,
             // A transaction that is said again looks as it did the first time.
-            repeated: true,
+            said: Said::Perhaps,
             payload: Payload { request: Arc::new(message), name: get("bdc/ref").map(Arc::from), span },
         };
         Ok((offer, patience))
--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -8,7 +8,7 @@
 use baydrift_call::Process;
 use baydrift_call::{
     AttemptId, Counts, Engine, EngineError, Final, Input, LinkId, LinkState, Offer, Output, Policy,
-    ReleaseResult, Request, Session,
+    ReleaseResult, Request, Said, Session,
 };
 use baydrift_config::Config;
 use baydrift_diameter::credit::{self, Ccr, Ends, RequestType};
@@ -425,6 +425,11 @@
         self.engine.counts()
     }
 
+    /// The process starts now, by a clock that did not start with it: virtual time's.
+    pub fn starts(&mut self, now: Micros) {
+        self.engine.starts(now);
+    }
+
     /// How often the engine held back what would have broken a rule.
     pub fn held_back(&self) -> Vec<(&'static str, u64)> {
         Breach::ALL.iter().map(|breach| (breach.name(), self.engine.held_back(*breach))).collect()
@@ -635,7 +640,7 @@
             gives_up_in: class.1.saturating_sub(self.waited),
             redial: None,
             was_cut: false,
-            repeated: false,
+            said: Said::Once,
             payload: Payload { request: Arc::new(message), name: reference.clone(), span },
         }
     }
@@ -826,7 +831,7 @@
                 gives_up_in: facts.gives_up.saturating_sub(waited),
                 redial: None,
                 was_cut: false,
-                repeated: message.header.flags.retransmitted,
+                said: if message.header.flags.retransmitted { Said::Again } else { Said::Once },
                 payload: Payload { request: message.clone(), name: None, span },
             }))
         }
--- a/crates/emulator/src/front.rs
+++ b/crates/emulator/src/front.rs
@@ -66,6 +66,9 @@
     clients: BTreeMap<LinkId, Client>,
     next_link: u64,
     pub(crate) stalled_until: Micros,
+    /// How many processes there were, and whether one runs.
+    process: u32,
+    down: bool,
 }
 
 impl Front {
@@ -96,9 +99,37 @@
             clients: BTreeMap::new(),
             next_link: 1,
             stalled_until: 0,
+            process: boot,
+            down: false,
         })
     }
 
+    /// The count of the process that runs, or ran last.
+    pub(crate) fn process(&self) -> u32 {
+        self.process
+    }
+
+    /// Whether this process still runs.
+    pub(crate) fn runs(&self, process: u32) -> bool {
+        !self.down && self.process == process
+    }
+
+    pub(crate) fn is_down(&self) -> bool {
+        self.down
+    }
+
+    /// The process is killed.
+    pub(crate) fn go_down(&mut self) {
+        (self.down, self.stalled_until) = (true, 0);
+    }
+
+    /// Another process, which knows nothing of the one before.
+    pub(crate) fn start_anew(&mut self, now: Micros, rng: &mut Pcg64Mcg) -> Result<(), EngineError> {
+        *self = Self::new(self.config.clone(), None, self.process + 1, rng)?;
+        self.desk.starts(now);
+        Ok(())
+    }
+
     pub(crate) fn desk(&self) -> &Desk {
         &self.desk
     }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -29,4 +29,4 @@
 pub use text::{said, TextCallers, TextOutput, TextSpec};
 pub use two_ends::{Tally, TwoEnds, TwoEndsSpec};
 pub use way::{Way, WaySpec, RESENT_AFTER};
-pub use world::{Roughness, World, WorldSpec};
+pub use world::{Place, Roughness, World, WorldSpec};
--- a/crates/emulator/src/link.rs
+++ b/crates/emulator/src/link.rs
@@ -145,10 +145,41 @@
         freed
     }
 
+    /// What waited on one transport and now passes, in order.
+    pub(crate) fn freed(&mut self, id: u64, fault: Fault) -> Vec<(usize, Parcel)> {
+        let Some(conn) = self.conns.get_mut(&id) else { return Vec::new() };
+        let mut freed = Vec::new();
+        for (direction, stalled) in [(THERE, fault.stalled), (BACK, fault.stalled_back)] {
+            if !stalled {
+                freed.extend(std::mem::take(&mut conn.held[direction]).into_iter().map(|p| (direction, p)));
+            }
+        }
+        freed
+    }
+
+    /// Transports at a front, either way.
+    pub(crate) fn of_front(&self, front: usize) -> Vec<u64> {
+        let of = |end: &End| match end {
+            End::FrontServer(own, _) | End::FrontClient(own) | End::FrontFar(own, _) => *own == front,
+            _ => false,
+        };
+        self.conns.iter().filter(|(_, c)| of(&c.initiator) || of(&c.responder)).map(|(id, _)| *id).collect()
+    }
+
+    /// All transports of an end break, and what is under way is lost.
+    pub(crate) fn reset(&mut self, end: End) -> Vec<(u64, u32)> {
+        let theirs = |conn: &Conn| conn.initiator == end || conn.responder == end;
+        self.broken(theirs)
+    }
+
     /// A link went down: all its transports close at both ends, and what is under way is lost.
     pub(crate) fn down(&mut self, link: usize) -> Vec<(u64, u32)> {
+        self.broken(|conn| conn.link == Some(link))
+    }
+
+    fn broken(&mut self, which: impl Fn(&Conn) -> bool) -> Vec<(u64, u32)> {
         let mut gone = Vec::new();
-        for (id, conn) in self.conns.iter_mut().filter(|(_, conn)| conn.link == Some(link)) {
+        for (id, conn) in self.conns.iter_mut().filter(|(_, conn)| which(conn)) {
             conn.epoch += 1;
             conn.held = Default::default();
             gone.push((*id, conn.epoch));
--- a/crates/emulator/src/text.rs
+++ b/crates/emulator/src/text.rs
@@ -67,6 +67,8 @@
     throttle: f64,
     throttled_at: Micros,
     greeted: bool,
+    /// It greeted the front before.
+    known: bool,
     registered: bool,
     asked_events: bool,
 }
@@ -99,6 +101,7 @@
             throttle: 1.0,
             throttled_at: 0,
             greeted: false,
+            known: false,
             registered: false,
             asked_events: false,
         }
@@ -136,7 +139,10 @@
         let mut dos = Vec::new();
         if !std::mem::replace(&mut self.greeted, true) {
             let mid = &self.spec.mid;
-            let hello = |id| format!("!/1 {mid} T={id}{{C=-{{SC=ROOT{{SV{{MT=RS}}}}}}}}");
+            // A front that lost it is greeted as one whose client was there all the time: its transactions go on, and
+            // a late copy of one that was answered must not be executed.
+            let method = if std::mem::replace(&mut self.known, true) { "DC" } else { "RS" };
+            let hello = |id| format!("!/1 {mid} T={id}{{C=-{{SC=ROOT{{SV{{MT={method}}}}}}}}}");
             if let Some(id) = self.exchange.send(now, hello, &mut dos) {
                 self.asked.insert(id, Asked::Register);
             }
@@ -248,6 +254,8 @@
         };
         if std::mem::take(waits) {
             out.push(TextOutput::Record(Moment::GiveUp { front, call: name.clone() }));
+            // Guards against a set-up by a front's later process, which cannot know that its caller left.
+            self.exchange.quiet(now, id);
             let first = first.clone().unwrap_or_else(|| name.clone());
             let (flow, tries, choice) = (*flow, *tries, *choice);
             self.redial(now, flow, first, tries, choice);
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -2,6 +2,8 @@
 //!
 //! Delays of networks and of tasks are drawn, so that what can happen in either order does, by the seed.
 
+mod faults;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -23,6 +25,8 @@
 use crate::server::{Command, ServerInput, ServerOutput, ServerSpec, SessionServer};
 use crate::text::{said, TextCallers, TextOutput, TextSpec};
 
+pub use faults::Place;
+
 /// How uneven the machine is that all this runs on.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Roughness {
@@ -93,9 +97,12 @@
     Redial(usize, usize),
     /// A link went down: its transport closes at this end.
     Severed(u64, usize),
-    Core(usize, Box<ToCore>),
+    /// The core of a front's process, by its count, takes an input.
+    Core(usize, u32, Box<ToCore>),
     /// What the core sent leaves a link's queue.
-    Out(usize, Box<DeskOutput>),
+    Out(usize, u32, Box<DeskOutput>),
+    /// Another process of a front starts.
+    Starts(usize),
     /// A datagram of text caller so-and-so, towards its front or back.
     Datagram(usize, bool, Arc<str>),
     /// A list is pushed; what is told.
@@ -115,6 +122,7 @@
     texts: Vec<(TextCallers, usize, String)>,
     conns: Conns,
     faults: BTreeMap<usize, Fault>,
+    faulty: faults::Faulty,
     armed: BTreeMap<Node, Micros>,
     /// Queues between tasks keep their order: when the last entry of each leaves.
     last: BTreeMap<(usize, Option<Node>, bool), Micros>,
@@ -149,6 +157,7 @@
             texts: Vec::new(),
             conns: Conns::default(),
             faults: spec.linked.into_iter().map(|server| (server, fault)).collect(),
+            faulty: faults::Faulty::default(),
             armed: BTreeMap::new(),
             last: BTreeMap::new(),
             datagrams_lost: spec.datagrams_lost,
@@ -294,6 +303,9 @@
 
     /// A front's whole process stands still.
     pub fn stall(&mut self, front: usize, span: Micros) {
+        if self.fronts.get(front).is_none_or(Front::is_down) {
+            return;
+        }
         self.record(Moment::Stall { front: front as u32, us: span });
         let until = self.queue.now() + span;
         if let Some(front) = self.fronts.get_mut(front) {
@@ -340,7 +352,7 @@
             Event::Wake(Node::Core(front) | Node::ToServer(front, _) | Node::ToClient(front, _)) => {
                 Some(*front)
             }
-            Event::Core(front, _) | Event::Out(front, _) | Event::List(front, ..) => Some(*front),
+            Event::Core(front, ..) | Event::Out(front, ..) | Event::List(front, ..) => Some(*front),
             Event::Redial(front, _) => Some(*front),
             Event::Datagram(text, true, _) => self.texts.get(*text).map(|(_, front, _)| *front),
             Event::Arrive(id, direction, ..) => {
@@ -351,7 +363,7 @@
                 let conn = self.conns.get(*id)?;
                 of_end(if *end == 0 { conn.initiator } else { conn.responder })
             }
-            Event::Wake(_) | Event::Connecting(_) | Event::Datagram(..) => None,
+            Event::Wake(_) | Event::Connecting(_) | Event::Datagram(..) | Event::Starts(_) => None,
         }
     }
 
@@ -372,6 +384,7 @@
             Event::Wake(node) => self.wake(node),
             Event::Arrive(id, direction, epoch, parcel) => self.arrive(id, direction, epoch, parcel),
             Event::Connecting(id) => self.connecting(id),
+            Event::Redial(front, _) if self.fronts[front].is_down() => {}
             Event::Redial(front, far) => {
                 self.connect(End::FrontFar(front, far), End::Far(far));
             }
@@ -381,11 +394,23 @@
                 self.conns.close(id, end);
                 self.closed(id, at);
             }
-            Event::Core(front, input) => self.core(front, Some(*input)),
-            Event::Out(front, output) => self.out(front, *output),
+            // What a process that was killed had in its queues went with it.
+            Event::Core(front, process, input) => {
+                if self.fronts[front].runs(process) {
+                    self.core(front, Some(*input));
+                }
+            }
+            Event::Out(front, process, output) => {
+                if self.fronts[front].runs(process) {
+                    self.out(front, *output);
+                }
+            }
+            Event::Starts(front) => self.starts(front),
             Event::Datagram(text, to_front, said) => self.datagram(text, to_front, &said),
             Event::List(front, list, told) => {
-                self.core(front, Some(ToCore::Pool(*list, told)));
+                if let Some((list, told)) = self.heard_list(front, *list, told) {
+                    self.core(front, Some(ToCore::Pool(list, told)));
+                }
             }
         }
     }
@@ -420,6 +445,11 @@
         if self.armed.get(&node).is_some_and(|at| *at <= now) {
             self.armed.remove(&node);
         }
+        if let Node::Core(front) | Node::ToServer(front, _) | Node::ToClient(front, _) = node {
+            if self.fronts[front].is_down() {
+                return;
+            }
+        }
         if self.due(node) > now {
             return self.arm(node);
         }
@@ -439,13 +469,20 @@
 
     fn fault(&self, id: u64) -> Fault {
         let link = self.conns.get(id).and_then(|conn| conn.link);
-        link.and_then(|link| self.faults.get(&link)).copied().unwrap_or_default()
+        self.severed_of(id, link.and_then(|link| self.faults.get(&link)).copied().unwrap_or_default())
+    }
+
+    /// Whether a transport's own link holds what crosses it, whatever is severed.
+    fn linked_fault(&self, id: u64) -> bool {
+        let link = self.conns.get(id).and_then(|conn| conn.link);
+        link.and_then(|link| self.faults.get(&link)).is_some_and(|fault| fault.stalled || fault.stalled_back)
     }
 
     /// Sends a parcel on its way.
     fn post(&mut self, id: u64, direction: usize, parcel: Parcel) {
         let (now, fault) = (self.queue.now(), self.fault(id));
         let delay = self.turn() + fault.delay;
+        self.enters(id, direction, &parcel, fault);
         if let Some((at, id, direction, epoch, parcel)) =
             self.conns.send(now, id, direction, parcel, fault, delay)
         {
@@ -478,14 +515,16 @@
     }
 
     fn connecting(&mut self, id: u64) {
+        if self.hangs(id) {
+            return;
+        }
         let Some(conn) = self.conns.get(id) else { return };
         let (responder, open) = (conn.responder, conn.open[0]);
         let down = self.fault(id).down;
         let there = match responder {
             End::Server(server) => !down && self.servers.get(server).is_some_and(SessionServer::listens),
             End::FrontClient(front) => {
-                let link = self.fronts[front].accepted(id);
-                link.is_some()
+                !self.fronts[front].is_down() && self.fronts[front].accepted(id).is_some()
             }
             End::Far(far) => !down && self.fars.get(far).is_some_and(|(far, _)| far.listens()),
             End::FrontServer(..) | End::Callers(_) | End::FrontFar(..) => false,
@@ -566,6 +605,8 @@
             End::FrontServer(front, server) => {
                 let of_it = self.fronts[front].servers.get(server).is_some_and(|s| s.conn == Some(id));
                 if of_it {
+                    // On record as the front hears of it: its server may be gone, with what was on its way there.
+                    self.record(Moment::Unlinked { server: server as u16, front: front as u32 });
                     self.server_input(front, server, PeerInput::Disconnected(Side::Initiator));
                     self.server_input(front, server, PeerInput::ConnectFailed);
                 }
@@ -704,9 +745,12 @@
         }
         let Some((_, front, _)) = self.texts.get(text) else { return };
         let (front, bytes) = (*front, said.as_bytes().to_vec());
+        if self.fronts[front].is_down() {
+            return;
+        }
         let input = DeskInput::Text { link: text_link(text), reliable: false, bytes };
         let at = self.queued(front, Some(Node::Text(text)), true);
-        self.queue.at(at, Event::Core(front, Box::new(ToCore::Desk(input))));
+        self.tell_process(at, front, input);
     }
 
     // --- fronts ---
@@ -728,7 +772,13 @@
     /// A link's task tells the core something.
     fn tell_core(&mut self, front: usize, task: Node, input: DeskInput) {
         let at = self.queued(front, Some(task), true);
-        self.queue.at(at, Event::Core(front, Box::new(ToCore::Desk(input))));
+        self.tell_process(at, front, input);
+    }
+
+    /// The front's process that runs now takes an input at a time, if it still runs then.
+    fn tell_process(&mut self, at: Micros, front: usize, input: DeskInput) {
+        let process = self.fronts[front].process();
+        self.queue.at(at, Event::Core(front, process, Box::new(ToCore::Desk(input))));
     }
 
     /// Carries out what a link's task did.
@@ -750,6 +800,9 @@
     }
 
     fn core(&mut self, front: usize, input: Option<ToCore>) {
+        if self.fronts[front].is_down() {
+            return;
+        }
         let now = self.queue.now();
         let (mut out, mut told) = (Vec::new(), Vec::new());
         self.fronts[front].core(now, input, &mut out, &mut told);
@@ -767,7 +820,7 @@
                 DeskOutput::Text { .. } | DeskOutput::ToFront { .. } => None,
             };
             let at = self.queued(front, task, false);
-            self.queue.at(at, Event::Out(front, Box::new(output)));
+            self.queue.at(at, Event::Out(front, self.fronts[front].process(), Box::new(output)));
         }
         self.arm(Node::Core(front));
     }
@@ -797,10 +850,12 @@
                 }
             }
             DeskOutput::ToFront { to, payload } => {
-                if (to as usize) < self.fronts.len() && self.rng.random::<f64>() >= self.messages_lost {
+                let place = to as usize;
+                let heard = place < self.fronts.len() && self.rng.random::<f64>() >= self.messages_lost;
+                if heard && !self.is_severed(Place::Front(front), Place::Front(place)) {
                     let input = DeskInput::Fleet { from: front as u32, payload };
                     let at = self.queue.now() + self.turn() + self.turn();
-                    self.queue.at(at, Event::Core(to as usize, Box::new(ToCore::Desk(input))));
+                    self.tell_process(at, place, input);
                 }
             }
         }
--- /dev/null
+++ b/crates/emulator/src/world/faults.rs
@@ -0,0 +1,181 @@
+//! Faults of processes and of the net between them in virtual time: what `baydrift day --processes` does to real ones.
+
+use std::collections::BTreeSet;
+
+use baydrift::interface::Micros;
+use baydrift_audit::Moment;
+use baydrift_desk::PoolList;
+use baydrift_diameter::credit::{Ccr, RequestType};
+use baydrift_diameter::{dict, PeerInput};
+
+use super::{Event, Node, World};
+use crate::front::Front;
+use crate::link::{End, Fault, Parcel, THERE};
+
+/// A list that could not be pushed is pushed again after this.
+const PUSHED_AGAIN: Micros = 400_000;
+/// The first packet of a connection that is lost is sent again after this.
+const SYN_AGAIN: Micros = 1_000_000;
+/// A process that starts takes this at the least.
+const STARTS: Micros = 5_000;
+
+/// A process between which and others ways can be severed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Place {
+    /// A front, by its ordinal.
+    Front(usize),
+    /// A server, by its number.
+    Server(usize),
+    /// The list service.
+    List,
+}
+
+/// Ways that pass nothing, the last list of each front, and which process of a front runs.
+#[derive(Debug, Default)]
+pub(super) struct Faulty {
+    severed: BTreeSet<(Place, Place)>,
+    lists: Vec<Option<(PoolList, Vec<Moment>)>>,
+}
+
+impl World {
+    pub(super) fn is_severed(&self, from: Place, to: Place) -> bool {
+        self.faulty.severed.contains(&(from, to))
+    }
+
+    /// What the ways between a front and a server do to a transport, on top of its link's fault.
+    pub(super) fn severed_of(&self, id: u64, fault: Fault) -> Fault {
+        let ends = self.conns.get(id).map(|conn| (conn.initiator, conn.responder));
+        let Some((End::FrontServer(front, _), End::Server(server))) = ends else { return fault };
+        let (front, server) = (Place::Front(front), Place::Server(server));
+        Fault {
+            stalled: fault.stalled || self.is_severed(front, server),
+            stalled_back: fault.stalled_back || self.is_severed(server, front),
+            ..fault
+        }
+    }
+
+    /// Nothing passes that way from now on, or what it held passes.
+    pub fn sever(&mut self, from: Place, to: Place, severed: bool) {
+        if severed {
+            self.faulty.severed.insert((from, to));
+            return;
+        }
+        self.faulty.severed.remove(&(from, to));
+        let (Place::Front(front), Place::Server(server)) = (from.min(to), from.max(to)) else { return };
+        for id in self.conns.of(End::Server(server)) {
+            let of_front = self.conns.get(id).map(|conn| conn.initiator);
+            if !matches!(of_front, Some(End::FrontServer(own, _)) if own == front) {
+                continue;
+            }
+            let now = self.fault(id);
+            for (direction, parcel) in self.conns.freed(id, now) {
+                self.post(id, direction, parcel);
+            }
+        }
+    }
+
+    /// What a front sends into a severed way is on record when it enters it: it may be given up before it arrives.
+    pub(super) fn enters(&mut self, id: u64, direction: usize, parcel: &Parcel, fault: Fault) {
+        let ends = self.conns.get(id).map(|conn| (conn.initiator, conn.responder));
+        let Some((End::FrontServer(front, _), End::Server(server))) = ends else { return };
+        if direction != THERE || !fault.stalled {
+            return;
+        }
+        let (front, server) = (front as u32, server as u16);
+        match parcel {
+            Parcel::Closed => self.record(Moment::Unlinked { server, front }),
+            Parcel::Message(message) => {
+                let Ok(ccr) = Ccr::read(message) else { return };
+                let call = (ccr.request_type == RequestType::Initial)
+                    .then(|| message.text(dict::CC_CORRELATION_ID).unwrap_or("").to_owned());
+                let attempt = ccr.session.to_owned();
+                self.record(Moment::Sent { server, front, call, attempt });
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether a new connection hangs, since its first packets are lost; it is tried again.
+    pub(super) fn hangs(&mut self, id: u64) -> bool {
+        let fault = self.fault(id);
+        let waits = self.conns.get(id).is_some_and(|conn| conn.open[0]);
+        let hangs = waits && (fault.stalled || fault.stalled_back) && !self.linked_fault(id);
+        if hangs {
+            self.queue.at(self.queue.now() + SYN_AGAIN, Event::Connecting(id));
+        }
+        hangs
+    }
+
+    /// All connections of a server are reset, at both ends.
+    pub fn reset(&mut self, server: usize) {
+        for (id, _) in self.conns.reset(End::Server(server)) {
+            for end in [0, 1] {
+                let at = self.queue.now() + self.turn();
+                self.queue.at(at, Event::Severed(id, end));
+            }
+        }
+    }
+
+    /// A front's process ends without a word; another one starts after so long, if at all, and knows nothing.
+    pub fn kill(&mut self, front: usize, back_after: Option<Micros>) {
+        if self.fronts.get(front).is_none_or(Front::is_down) {
+            return;
+        }
+        self.record(Moment::Killed { front: front as u32 });
+        for id in self.conns.of_front(front) {
+            let ends = self.conns.get(id).map(|conn| (conn.initiator, conn.responder));
+            let Some((initiator, responder)) = ends else { continue };
+            if let (End::FrontServer(..), End::Server(server)) = (initiator, responder) {
+                // Whatever is on its way there still: its front is no more.
+                self.record(Moment::Unlinked { server: server as u16, front: front as u32 });
+            }
+            self.close(id, usize::from(matches!(responder, End::FrontClient(_))));
+        }
+        self.fronts[front].go_down();
+        if let Some(back) = back_after {
+            let at = self.queue.now() + STARTS + back + self.turn();
+            self.queue.at(at, Event::Starts(front));
+        }
+    }
+
+    /// Another process of a front serves.
+    pub(super) fn starts(&mut self, front: usize) {
+        let now = self.queue.now();
+        if self.fronts[front].start_anew(now, &mut self.rng).is_err() {
+            return;
+        }
+        self.record(Moment::Started { front: front as u32 });
+        for server in 0..self.fronts[front].servers.len() {
+            self.server_input(front, server, PeerInput::Start);
+        }
+        for far in 0..self.fars.len() {
+            self.connect(End::FrontFar(front, far), End::Far(far));
+        }
+        self.arm(Node::Core(front));
+        if let Some((list, told)) = self.faulty.lists.get(front).cloned().flatten() {
+            self.push_list(self.queue.now() + PUSHED_AGAIN, front, list, told);
+        }
+    }
+
+    /// A list that a front does not hear now comes again, unless a newer one did. `None` where it waits.
+    pub(super) fn heard_list(
+        &mut self,
+        front: usize,
+        list: PoolList,
+        told: Vec<Moment>,
+    ) -> Option<(PoolList, Vec<Moment>)> {
+        if self.faulty.lists.len() <= front {
+            self.faulty.lists.resize(front + 1, None);
+        }
+        let newest = &mut self.faulty.lists[front];
+        if newest.as_ref().is_some_and(|(newest, _)| newest.version > list.version) {
+            return None;
+        }
+        *newest = Some((list.clone(), told.clone()));
+        if self.is_severed(Place::List, Place::Front(front)) || self.fronts[front].is_down() {
+            self.push_list(self.queue.now() + PUSHED_AGAIN, front, list, told);
+            return None;
+        }
+        Some((list, told))
+    }
+}
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -166,6 +166,12 @@
         self.sender.send(now, text, out)
     }
 
+    /// An own request is of no use any more: it is not said again, so that nobody who hears of it only now carries it
+    /// out. A reply that comes all the same is told within LONG-TIMER.
+    pub fn quiet(&mut self, now: Micros, id: u32) {
+        self.sender.quiet(now, id);
+    }
+
     /// When [`Exchange::tick`] is wanted at the latest.
     pub fn due(&self) -> Option<Micros> {
         self.receiver.due().into_iter().chain(self.sender.due()).min()
--- a/crates/exchange/src/send.rs
+++ b/crates/exchange/src/send.rs
@@ -106,6 +106,14 @@
         self.due.insert((open.next, id));
     }
 
+    /// Whoever asked wants it no more: it is said no further time, and given up after LONG-TIMER.
+    pub(crate) fn quiet(&mut self, now: Micros, id: u32) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        self.due.remove(&(open.next, id));
+        (open.sends, open.next) = (u32::MAX, now.saturating_add(self.settings.long_timer));
+        self.due.insert((open.next, id));
+    }
+
     pub(crate) fn due(&self) -> Option<Micros> {
         self.due.first().map(|(at, _)| *at)
     }
--- a/crates/node/src/state/callers.rs
+++ b/crates/node/src/state/callers.rs
@@ -6,7 +6,7 @@
 use std::net::IpAddr;
 
 use baydrift::interface::{Micros, Outcome};
-use baydrift_call::{Input as Moment, Known, LinkId, Offer, Request};
+use baydrift_call::{Input as Moment, Known, LinkId, Offer, Request, Said};
 use baydrift_platform::list::server_id;
 use baydrift_platform::setup::SetUp;
 use baydrift_platform::{Cause, Code, Fault, Id, Kind, Message};
@@ -158,7 +158,7 @@
             redial: self.wording.marks_redials.then_some(setup.redial),
             was_cut: setup.was_cut,
             // Each set-up has an id of its own, also a caller's second one.
-            repeated: false,
+            said: Said::Once,
             payload,
         };
         self.engine(Moment::Offered(offer), out);
