--- a/crates/emulator/src/world/faults.rs
+++ b/crates/emulator/src/world/faults.rs
@@ -62,9 +62,9 @@
         }
         self.faulty.severed.remove(&(from, to));
         let (Place::Front(front), Place::Server(server)) = (from.min(to), from.max(to)) else { return };
-        for id in self.conns.of(End::Server(server)) {
-            let of_front = self.conns.get(id).map(|conn| conn.initiator);
-            if !matches!(of_front, Some(End::FrontServer(own, _)) if own == front) {
+        // Those too that the server let go of meanwhile: its front is still to hear of it.
+        for id in self.conns.of_front(front) {
+            if self.conns.get(id).is_none_or(|conn| conn.responder != End::Server(server)) {
                 continue;
             }
             let now = self.fault(id);
