--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -378,6 +378,13 @@
                 Event::Core(..) | Event::Out(..) => 0,
                 _ => self.rng.random_range(0..2_048),
             };
+            // A datagram lies at the process that stands still: killed, it takes that along.
+            if let Event::Datagram(text, true, said) = &event {
+                if let Some((front, input)) = self.text_input(*text, said) {
+                    self.tell_process(until + spread, front, input);
+                }
+                return;
+            }
             return self.queue.at(until + spread, event);
         }
         match event {
@@ -743,16 +750,19 @@
         if !to_front {
             return self.text(text, |callers, out| callers.received(now, said, out));
         }
-        let Some((_, front, _)) = self.texts.get(text) else { return };
-        let (front, bytes) = (*front, said.as_bytes().to_vec());
-        if self.fronts[front].is_down() {
-            return;
-        }
-        let input = DeskInput::Text { link: text_link(text), reliable: false, bytes };
+        let Some((front, input)) = self.text_input(text, said) else { return };
         let at = self.queued(front, Some(Node::Text(text)), true);
         self.tell_process(at, front, input);
     }
 
+    /// What a front's core is told of a datagram of a text caller, if it runs.
+    fn text_input(&self, text: usize, said: &str) -> Option<(usize, DeskInput)> {
+        let front = self.texts.get(text).map(|(_, front, _)| *front)?;
+        let bytes = said.as_bytes().to_vec();
+        let input = DeskInput::Text { link: text_link(text), reliable: false, bytes };
+        (!self.fronts[front].is_down()).then_some((front, input))
+    }
+
     // --- fronts ---
 
     fn server_input(&mut self, front: usize, server: usize, input: PeerInput) {
