--- /dev/null
+++ b/crates/audit/tests/sums.rs
@@ -0,0 +1,103 @@
+//! Sums over all fronts: each bound catches what is planted beyond it.
+
+use baydrift_audit::{sums, Line, Moment, ServerTerms, SumTerms};
+
+const MS: u64 = 1_000;
+
+fn terms() -> SumTerms {
+    let server = ServerTerms {
+        rate: 100.0,
+        cold_from: 0.5,
+        ramp: 4_000 * MS,
+        fall_multiple: 2.0,
+        fall_time: 1_000 * MS,
+    };
+    SumTerms { servers: vec![server; 2], fronts: 2, ..SumTerms::default() }
+}
+
+fn record(moments: impl IntoIterator<Item = (u64, Moment)>) -> Vec<Line> {
+    let mut lines: Vec<_> = moments.into_iter().map(|(ms, moment)| Line { at: ms * MS, moment }).collect();
+    lines.sort_by_key(|line| line.at);
+    lines
+}
+
+fn set_up(at: u64, server: u16) -> (u64, Moment) {
+    let attempt = format!("a{at}");
+    (at, Moment::SetUp { server, front: 0, call: format!("c|{at}"), attempt, redirected: false })
+}
+
+fn offer(at: u64) -> (u64, Moment) {
+    let call = format!("c|{at}");
+    let moment = Moment::Offer {
+        front: 0,
+        call,
+        first: None,
+        class: 0,
+        publisher: 0,
+        hot: false,
+        gives_up_us: 3_000 * MS,
+    };
+    (at, moment)
+}
+
+fn answer(at: u64, of: u64, code: u32) -> (u64, Moment) {
+    (at, Moment::Answer { front: 0, call: format!("c|{of}"), code })
+}
+
+#[test]
+fn connections_and_words_are_counted_over_all_fronts() {
+    let linked = |at: u64, front: u32| (at, Moment::Linked { server: 1, front });
+    let parting = |at: u64, front: u32| (at, Moment::Parting { server: 1, front });
+    let mut moments = vec![linked(0, 0), linked(10, 1), parting(500, 0), linked(900, 0), linked(1_500, 1)];
+    moments.extend((0..6).map(|n| (n * 100, Moment::Word { from: 0, to: 1, bytes: 60 })));
+    let seen = sums(&record(moments.clone()), &terms());
+    // Three at once; three within the second from 0 on; six words of two fronts.
+    assert_eq!((seen.open, seen.opened, seen.words), (3, 3, 3.0));
+    assert!(seen.passed.is_empty());
+    let tight = SumTerms { open: Some(2), opened: Some(2), words: Some(2.5), ..terms() };
+    assert_eq!(sums(&record(moments), &tight).passed.len(), 3);
+}
+
+#[test]
+fn fronts_that_ignore_their_share_of_a_cold_server_are_seen_before_it_falls() {
+    let cold = (0, Moment::Start { server: 0, cold: true });
+    let load = |all: u64| record((0..all).map(|n| set_up(1 + n * 900 / all, 0)).chain([cold.clone()]));
+    // It starts at half of 100 a second and falls at twice that within a second.
+    assert!(sums(&load(99), &terms()).passed.is_empty());
+    let seen = sums(&load(101), &terms());
+    assert!(seen.cold > 1.0 && seen.passed.len() == 1, "{seen:?}");
+    // A warm one is no matter of this bound, but of the overshoot.
+    let warm = record((0..150).map(|n| set_up(1 + n * 6, 1)));
+    let seen = sums(&warm, &SumTerms { overshoot: Some(1.2), ..terms() });
+    assert_eq!((seen.cold, seen.passed.len()), (0.0, 1));
+    assert!((seen.overshoot - 1.5).abs() < 0.01, "{seen:?}");
+}
+
+#[test]
+fn attempts_count_for_each_first_try() {
+    let lines =
+        record([offer(0), set_up(1, 0), set_up(400, 1), set_up(800, 0), offer(1_000), set_up(1_001, 0)]);
+    let seen = sums(&lines, &SumTerms { attempts: Some(1.9), ..terms() });
+    assert_eq!((seen.attempts, seen.passed.len()), (2.0, 1));
+}
+
+#[test]
+fn service_is_back_when_two_seconds_are_as_good_as_before() {
+    // Ten calls a second, all stand, but for the seconds in which they do not.
+    let day = |bad: std::ops::Range<u64>| {
+        let mut moments = vec![(3_500, Moment::Fault { what: "kill".into(), over: 4_000 * MS })];
+        for n in 0..120 {
+            let at = n * 100;
+            let code = if bad.contains(&(at / 1_000)) { 3004 } else { 2001 };
+            moments.extend([offer(at), answer(at + 20, at, code)]);
+        }
+        record(moments)
+    };
+    let back = |lines: &[Line]| sums(lines, &terms()).recoveries[0].back;
+    assert_eq!(back(&day(3..4)), Some(0));
+    assert_eq!(back(&day(3..6)), Some(2_000 * MS));
+    assert_eq!(back(&day(3..12)), None);
+    let bound = SumTerms { back_within: Some(1_000 * MS), ..terms() };
+    assert!(sums(&day(3..5), &bound).passed.is_empty());
+    assert_eq!(sums(&day(3..6), &bound).passed.len(), 1);
+}
--- a/crates/day/tests/emulated.rs
+++ b/crates/day/tests/emulated.rs
@@ -3,7 +3,7 @@
 mod planting;
 
 use baydrift_audit::{write_record, Moment};
-use baydrift_day::{drawn, parse, run_virtual, Day, Outcome};
+use baydrift_day::{drawn, drawn_for_processes, parse, run_virtual, Day, Outcome};
 
 fn day(name: &str, text: &str, seed: u64) -> Day {
     Day { seed, ..parse(name, text).expect("a script") }
@@ -45,6 +45,20 @@
     }
 }
 
+/// Fronts that are killed and start anew, ways that are severed, resets: by the seeds that broke a rule before the
+/// mends of `docs/notes/processes.md`.
+#[test]
+fn the_rules_hold_while_fronts_are_killed_and_cut_off() {
+    let text = include_str!("../../../days/fleet.kdl");
+    for seed in [7, 37, 100, 258, 269] {
+        let day = drawn_for_processes(&day("fleet.kdl", text, seed));
+        let outcome = play(&day);
+        assert!(outcome.good(), "seed {seed}: {:?} {:?}", outcome.verdict.breaches, outcome.sums.passed);
+        assert!(outcome.lines.iter().any(|line| matches!(line.moment, Moment::Killed { .. })));
+        assert_eq!(bytes(&outcome), bytes(&play(&day)));
+    }
+}
+
 /// What made rule 2 break on sockets in one run of thirty: a server that hung and came back, a quiet spell hours
 /// later, and a watchdog counted as unanswered that was sent in the hang. By the seeds that show it.
 #[test]
