--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -69,10 +69,6 @@
     pub away: Micros,
     /// Rule 3: nothing new later than this after a drain was told.
     pub grace: Micros,
-    /// After its start a front that is pushed lists waits so long for the first before it sends anything; 0 where its
-    /// list is there at the start. Guards against a server that started while this front was down: its configuration
-    /// takes it for warm, and what has waited for the front would go there at once.
-    pub first_list_within: Micros,
     /// Rule 4's last line: set-ups a second that a cold server may be sent, by all fronts together.
     pub cold_rate: Option<f64>,
 }
@@ -89,7 +85,6 @@
             release_timeout: 2_000_000,
             away: 30_000_000,
             grace: 1_000_000,
-            first_list_within: 0,
             cold_rate: None,
         }
     }
@@ -147,8 +142,6 @@
     now: Micros,
     /// When this process heard of anything first.
     started: Option<Micros>,
-    /// A list was pushed to this process.
-    listed: bool,
     calls: BTreeMap<CallId, Held<P>>,
     sessions: BTreeMap<Session, CallId>,
     attempts: BTreeMap<AttemptId, Attempt>,
@@ -200,7 +193,6 @@
             policy,
             now: 0,
             started: None,
-            listed: false,
             calls: BTreeMap::new(),
             sessions: BTreeMap::new(),
             attempts: BTreeMap::new(),
@@ -477,7 +469,7 @@
             self.counts.forgotten += self.memory.put(self.now, session.clone(), answer);
             return out.push(Output::Answer { request: *request, session: session.clone(), answer });
         }
-        let unsure_for = self.sure_at(offer.said).saturating_sub(self.now);
+        let unsure_for = self.sure_at().saturating_sub(self.now);
         if offer.said == Said::Perhaps && unsure_for > 0 {
             // It cannot wait as a marked one does: its caller may leave meanwhile, and nobody would hear of it.
             let answer = Final::Refused { retry_after: unsure_for, why: Refusal::JustStarted };
@@ -488,33 +480,10 @@
         self.take(offer);
     }
 
-    /// From then on a call may be set up. No process before this one can have it out: the guard after its start, since an
-    /// end that nobody here saw is as sure as a reset is. And the list of the start has come, or will not.
-    fn sure_at(&self, said: Said) -> Micros {
-        let started = self.started.unwrap_or(self.now);
-        let guard = if said == Said::Once { 0 } else { self.guard.release_guard() };
-        let list = if self.listed { 0 } else { self.limits.first_list_within };
-        started.saturating_add(guard.max(list))
-    }
-
-    /// The first list was pushed to this process: what waited for it alone goes on.
-    pub fn first_list(&mut self, now: Micros, out: &mut Vec<Output<P>>) {
-        self.now = self.now.max(now);
-        self.listed = true;
-        let waiting: Vec<_> =
-            self.calls.iter().filter(|(_, held)| held.untold.is_some()).map(|(id, _)| *id).collect();
-        for id in waiting {
-            let said = self
-                .calls
-                .get(&id)
-                .and_then(|held| held.untold.as_ref())
-                .map_or(Said::Once, |untold| untold.2);
-            match self.sure_at(said) {
-                at if at <= self.now => self.sure(id),
-                at => self.timers.set(at, Timer::Sure(id)),
-            }
-        }
-        self.run(out);
+    /// From then on no process before this one can have a call out: the guard after its start, since an end that nobody
+    /// here saw is as sure as a reset is.
+    fn sure_at(&self) -> Micros {
+        self.started.unwrap_or(self.now).saturating_add(self.guard.release_guard())
     }
 
     /// A new call, within all bounds.
@@ -542,11 +511,11 @@
         };
         // Guards against a process that was killed with this call out, and came back at once: the one before may
         // have set it up until it ended.
-        let sure_at = self.sure_at(offer.said);
-        if self.now < sure_at {
+        let sure_at = self.sure_at();
+        if offer.said == Said::Again && self.now < sure_at {
             self.timers.set(sure_at, Timer::Sure(id));
             if let Some(held) = self.calls.get_mut(&id) {
-                held.untold = Some((self.now, call, offer.said));
+                held.untold = Some((self.now, call));
             }
             return;
         }
@@ -556,7 +525,7 @@
     /// No other process can have the call out any more: the module hears of it.
     fn sure(&mut self, id: CallId) {
         let untold = self.calls.get_mut(&id).and_then(|held| held.untold.take());
-        let Some((since, call, _)) = untold else { return };
+        let Some((since, call)) = untold else { return };
         let gives_up_in = call.gives_up_in.saturating_sub(self.now.saturating_sub(since));
         self.events.push_back(Event::Call(Call { gives_up_in, ..call }));
     }
--- a/crates/call/src/held.rs
+++ b/crates/call/src/held.rs
@@ -2,7 +2,7 @@
 
 use baydrift::interface::{Call, CallId, Micros, ServerId};
 
-use crate::types::{AttemptId, Request, Said, Session};
+use crate::types::{AttemptId, Request, Session};
 
 /// Requests for one call that can wait for its answer at once; the oldest go unanswered beyond it.
 pub(crate) const WAITING_MAX: usize = 4;
@@ -41,7 +41,7 @@
     /// Since when its owner has no link.
     pub(crate) away_since: Option<Micros>,
     /// The module has not heard of it: what it will be told, and since when that waits.
-    pub(crate) untold: Option<(Micros, Call, Said)>,
+    pub(crate) untold: Option<(Micros, Call)>,
 }
 
 impl<P> Held<P> {
--- a/crates/config/src/front.rs
+++ b/crates/config/src/front.rs
@@ -9,9 +9,6 @@
 use crate::trunk::{exchange, far_end};
 use crate::{ClassEntry, Client, Config, Fleet, LinkLimits, Pool, Publisher, Server, Text, TextClient};
 
-/// A front that is pushed lists waits so long for the first; a list service pushes its last one more often than that.
-const FIRST_LIST_WITHIN: baydrift::interface::Micros = 500 * MS;
-
 const MS: u64 = 1_000;
 const S: u64 = 1_000_000;
 const HOUR: u64 = 3_600 * S;
@@ -85,8 +82,6 @@
     let front = one(document, problems, "front")?;
     let policy = one(document, problems, "policy");
     let (settings, grace, cold_rate) = settings(&front, policy, &classes, &publishers);
-    let pool = one(document, problems, "pool").map(pool);
-    let first_list_within = if pool.is_some() { FIRST_LIST_WITHIN } else { 0 };
     let config = Config {
         host: front.name("its Origin-Host"),
         realm: front.need_text("realm"),
@@ -95,7 +90,7 @@
         watchdog: front.time("watchdog", 50 * MS..=HOUR).unwrap_or(6 * S),
         stop_within: front.time("stop-within", 0..=HOUR).unwrap_or(5 * S),
         seed: front.whole("seed", 0..=u64::MAX),
-        limits: Limits { grace, cold_rate, first_list_within, ..limits },
+        limits: Limits { grace, cold_rate, ..limits },
         links,
         clients: all(document, problems, "client").into_iter().map(client).collect(),
         text: one(document, problems, "text").map(text),
@@ -104,7 +99,7 @@
         point,
         far_ends,
         admin: one(document, problems, "admin").map(admin),
-        pool,
+        pool: one(document, problems, "pool").map(pool),
         fleet: one(document, problems, "fleet").map(fleet),
         classes,
         publishers,
--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -409,9 +409,6 @@
     pub fn pool(&mut self, now: Micros, list: &PoolList, out: &mut Vec<DeskOutput>) -> Result<(), PoolError> {
         let (kind, entries) = self.roster.take(now, list)?;
         self.engine(now, Input::List(kind, entries), out);
-        let mut outputs = Vec::new();
-        self.engine.first_list(now, &mut outputs);
-        outputs.into_iter().for_each(|output| self.carry_out(now, output, out));
         self.settle(now, out);
         Ok(())
     }
