Text over TCP is said once: only a datagram may be a copy said to a process before

Seen: desk/tests/differential.rs failed since text calls are refused at a front's start: 173 of 1,000 answers differ between the protocols. Cause: that test's client comes by TCP, where nothing is repeated, and was treated as one by datagrams. At fault: desk/commands.rs, which did not ask for the transport. Result: the protocols answer alike again; desk, call and front tests pass.

--- a/crates/desk/src/commands.rs
+++ b/crates/desk/src/commands.rs
@@ -411,8 +411,8 @@
             gives_up_in: patience.saturating_sub(reserve),
             redial: None,
             was_cut: false,
-            // A transaction that is said again looks as it did the first time.
-            said: Said::Perhaps,
+            // Over datagrams a transaction is said again, and looks as it did the first time.
+            said: if client.exchange.is_reliable() { Said::Once } else { Said::Perhaps },
             payload: Payload { request: Arc::new(message), name: get("bdc/ref").map(Arc::from), span },
         };
         Ok((offer, patience))
