--- a/crates/day/src/processes/mod.rs
+++ b/crates/day/src/processes/mod.rs
@@ -12,7 +12,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use baydrift::interface::Micros;
 use baydrift_audit::{Moment, Recorder};
 use baydrift_standin::{Caller, Datagrams as ClientNet, TextCaller};
 use tokio::sync::watch;
@@ -24,9 +23,8 @@
 use self::role::{Hello, Role};
 use self::stage::{Actor, Front, Stage};
 use crate::cast::{callers, config_text_at, sessions, texts, usual, Places};
-use crate::course::Course;
 use crate::error::DayError;
-use crate::run::{aftermath, outcome, Outcome};
+use crate::run::{aftermath, follow, outcome, Outcome};
 use crate::script::Day;
 
 /// A process that does not serve within this has not started.
@@ -148,20 +146,7 @@
     }
     let mut stage =
         Stage::new(cast.clone(), servers, server_addrs, fronts, list, streams, lists, pairs, offers);
-    let begin = recorder.now();
-    let mut course = Course::new(day, begin);
-    let mut second: Micros = begin;
-    while recorder.now() < course.end() {
-        let next = course.next().min(second);
-        tokio::time::sleep(Duration::from_micros(next.saturating_sub(recorder.now()))).await;
-        let now = recorder.now();
-        if now >= second {
-            progress((now - begin) as f64 / 1e6, "");
-            second += 1_000_000;
-        }
-        course.act(now, &mut stage, &mut progress);
-    }
-    course.close(&mut stage);
+    follow(day, &recorder, &mut stage, &mut progress).await;
     tokio::time::sleep(Duration::from_micros(aftermath(day))).await;
     // What is under way, such as a process that starts again, ends before all is told to end; its record is not kept.
     recorder.put(Moment::End);
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -176,6 +176,29 @@
     day.classes.iter().map(|class| class.gives_up).max().unwrap_or(0) + SECOND / 2
 }
 
+/// Follows a day's course by the machine's clock until its callers stop; `progress` hears of each second and trouble.
+pub(crate) async fn follow(
+    day: &Day,
+    recorder: &Recorder,
+    hands: &mut impl Hands,
+    progress: &mut impl FnMut(f64, &str),
+) {
+    let begin = recorder.now();
+    let mut course = Course::new(day, begin);
+    let mut second = begin;
+    while recorder.now() < course.end() {
+        let next = course.next().min(second);
+        tokio::time::sleep(Duration::from_micros(next.saturating_sub(recorder.now()))).await;
+        let now = recorder.now();
+        if now >= second {
+            progress((now - begin) as f64 / 1e6, "");
+            second += SECOND;
+        }
+        course.act(now, hands, progress);
+    }
+    course.close(hands);
+}
+
 /// Plays a day; `progress` hears of each second and trouble.
 ///
 /// # Errors
@@ -270,20 +293,7 @@
     }
     let mut stage = Stage { recorder: recorder.clone(), servers, fars, links, fronts, offers, relays, lists };
     stage.fars.iter().for_each(|(far, _)| far.offer(1.0));
-    let begin = recorder.now();
-    let mut course = Course::new(day, begin);
-    let mut second = begin;
-    while recorder.now() < course.end() {
-        let next = course.next().min(second);
-        tokio::time::sleep(Duration::from_micros(next.saturating_sub(recorder.now()))).await;
-        let now = recorder.now();
-        if now >= second {
-            progress((now - begin) as f64 / 1e6, "");
-            second += SECOND;
-        }
-        course.act(now, &mut stage, &mut progress);
-    }
-    course.close(&mut stage);
+    follow(day, &recorder, &mut stage, &mut progress).await;
     tokio::time::sleep(Duration::from_micros(aftermath(day))).await;
     let lines = recorder.lines();
     drop((all, text_all));
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -512,8 +512,8 @@
         self.tell_at = now + micros(TELL_EVERY_S * if first { drawn } else { 0.5 + drawn });
         let of_rest = chance(&mut self.rng) < REST.1;
         let due = |server: &Server| server.state == ServerState::Ready && (of_rest || !server.is_at_rest());
-        // From a place drawn by chance: a message holds a dozen words, and of a longer list those at its end would
-        // never be told of.
+        // From a place drawn by chance: a message holds a dozen words, and of a longer list those at its
+        // end would never be told of.
         let from = (chance(&mut self.rng) * self.servers.len() as f64) as usize;
         let (before, after): (Vec<_>, Vec<_>) =
             self.servers.iter().enumerate().partition(|(at, _)| *at < from);
@@ -622,8 +622,8 @@
         ((alpha - below) / equal).clamp(0.0, 1.0)
     }
 
-    /// Set-ups a second that a number took from here while warm, once this front has lived long enough to know:
-    /// without the last one's own weight, which at a few set-ups a minute would double the estimate.
+    /// Set-ups a second that a number took from here while warm, once this front has lived long enough to
+    /// know: without the last one's own weight, which at a few set-ups a minute would double the estimate.
     fn took(&self, now: Micros, number: u16) -> Option<f64> {
         let lived = now.saturating_sub(self.born.unwrap_or(now));
         let meter = self.carried.get(&number).filter(|_| seconds(lived) >= CARRIED_LAG_S)?;
@@ -634,8 +634,8 @@
     /// Set-ups a second that this front may send to a cold server: its own share of what the server's number
     /// took while warm (servers differ a hundredfold, others are no guide), so that the
     /// fronts together keep to what it can do, whoever has how much of the traffic. A told rate is best.
-    /// Guards against a fleet most of which has just started, which would leave cold servers idle: such a front
-    /// goes by the mean of what others say that they took, those with nothing included.
+    /// Guards against a fleet most of which has just started, which would leave cold servers idle: such a
+    /// front goes by the mean of what others say that they took, those with nothing included.
     fn ramp_rate(&self, now: Micros, server: &Server) -> f64 {
         if let Some(rate) =
             sane(server.report.rate).filter(|_| now.saturating_sub(server.reported_at) <= STALE)
