Read once more: one way to turn a call away, the driver's own faults shown, shorter paths

The driver's own faults (a relay that falls behind, a datagram without room) went to the progress bar, which is cleared: nobody saw them. The engine had the refusal of an untaken call twice: `turn_away`. 3. The order of words made two lists where skip and take say it. 4. A fresh allowance was made from the fleet's size at each look: it is one value of the bounds. 5. Every parcel in virtual time looked up ways that nothing severs.

--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -463,23 +463,33 @@
         let full = self.calls.len() >= self.limits.calls || of_link >= self.limits.in_set_up_per_link;
         if full || self.stopping {
             let why = if self.stopping { Refusal::Stopping } else { Refusal::Bound };
-            let answer = Final::Refused { retry_after: 0, why };
             self.counts.bound += u64::from(full);
-            self.counts.refused += 1;
-            self.counts.forgotten += self.memory.put(self.now, session.clone(), answer);
-            return out.push(Output::Answer { request: *request, session: session.clone(), answer });
+            return self.turn_away(*request, session.clone(), 0, why, out);
         }
         let unsure_for = self.sure_at().saturating_sub(self.now);
         if offer.said == Said::Perhaps && unsure_for > 0 {
             // It cannot wait as a marked one does: its caller may leave meanwhile, and nobody would hear of it.
-            let answer = Final::Refused { retry_after: unsure_for, why: Refusal::JustStarted };
-            self.counts.refused += 1;
-            self.counts.forgotten += self.memory.put(self.now, session.clone(), answer);
-            return out.push(Output::Answer { request: *request, session: session.clone(), answer });
+            let why = Refusal::JustStarted;
+            return self.turn_away(*request, session.clone(), unsure_for, why, out);
         }
         self.take(offer);
     }
 
+    /// A call that is not taken gets its one answer, which is remembered for copies of it.
+    fn turn_away(
+        &mut self,
+        request: Request,
+        session: Session,
+        retry_after: Micros,
+        why: Refusal,
+        out: &mut Vec<Output<P>>,
+    ) {
+        let answer = Final::Refused { retry_after, why };
+        self.counts.refused += 1;
+        self.counts.forgotten += self.memory.put(self.now, session.clone(), answer);
+        out.push(Output::Answer { request, session, answer });
+    }
+
     /// From then on no process before this one can have a call out: the guard after its start, since an end that nobody
     /// here saw is as sure as a reset is.
     fn sure_at(&self) -> Micros {
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -290,6 +290,7 @@
             println!("  front {front} held back {held:?}");
         }
     }
+    outcome.driver.iter().for_each(|what| println!("  the driver: {what}"));
     outcome.crashed.iter().for_each(|what| println!("  {what}"));
     let good = outcome.good();
     match logs.filter(|_| args.logs.is_none()) {
--- a/crates/day/src/processes/mod.rs
+++ b/crates/day/src/processes/mod.rs
@@ -152,14 +152,9 @@
     recorder.put(Moment::End);
     let ended = recorder.now();
     drop((all, text_all));
-    let (own_faults, crashed) = stage.close().await;
+    let (crossed, crashed) = stage.close().await;
     let mut lines = recorder.lines();
     lines.retain(|line| line.at <= ended && line.moment != Moment::End);
-    if let Some(faults) = own.faults() {
-        progress(day.seconds, &faults);
-    }
-    for fault in own_faults {
-        progress(day.seconds, &fault);
-    }
-    Ok(Outcome { crashed, ..outcome(day, lines, Vec::new()) })
+    let driver = std::iter::once(crossed).chain(own.faults()).collect();
+    Ok(Outcome { crashed, driver, ..outcome(day, lines, Vec::new()) })
 }
--- a/crates/day/src/processes/stage.rs
+++ b/crates/day/src/processes/stage.rs
@@ -214,8 +214,8 @@
         }
     }
 
-    /// Ends all processes. The driver's own faults, and the program's: ended by itself, or stayed behind.
-    pub(crate) async fn close(mut self) -> (Vec<String>, Vec<String>) {
+    /// Ends all processes. What crossed the net, and the program's faults: ended by itself, or stayed behind.
+    pub(crate) async fn close(mut self) -> (String, Vec<String>) {
         while self.tasks.join_next().await.is_some() {}
         let mut faults = std::mem::take(&mut *lock(&self.faults));
         let fronts: Vec<_> = self.fronts.iter().filter_map(|slot| lock(&slot.now).take()).collect();
@@ -240,8 +240,7 @@
         }
         let opened: u64 = self.streams.iter().flatten().chain(&self.lists).map(Streams::opened).sum();
         let datagrams: u64 = self.pairs.iter().map(|(.., relay)| relay.carried()).sum();
-        let own = vec![format!("{opened} connections and {datagrams} datagrams crossed the net")];
-        (own, faults)
+        (format!("{opened} connections and {datagrams} datagrams crossed the net"), faults)
     }
 
     fn front(&self, front: usize) -> Option<Arc<Child>> {
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -37,6 +37,8 @@
     pub fronts: Vec<Snapshot>,
     /// What went wrong with processes: ended unasked, or stayed behind. Empty where all ran as they should.
     pub crashed: Vec<String>,
+    /// What the driver of processes says of itself: its own faults, and what crossed its net. No fault of the program.
+    pub driver: Vec<String>,
 }
 
 impl Outcome {
@@ -167,6 +169,7 @@
         fronts,
         sums: sums(&lines, &sum_terms(day)),
         crashed: Vec::new(),
+        driver: Vec::new(),
         lines,
     }
 }
--- a/crates/emulator/src/world/faults.rs
+++ b/crates/emulator/src/world/faults.rs
@@ -44,6 +44,9 @@
 
     /// What the ways between a front and a server do to a transport, on top of its link's fault.
     pub(super) fn severed_of(&self, id: u64, fault: Fault) -> Fault {
+        if self.faulty.severed.is_empty() {
+            return fault;
+        }
         let ends = self.conns.get(id).map(|conn| (conn.initiator, conn.responder));
         let Some((End::FrontServer(front, _), End::Server(server))) = ends else { return fault };
         let (front, server) = (Place::Front(front), Place::Server(server));
--- a/crates/node/src/state/servers.rs
+++ b/crates/node/src/state/servers.rs
@@ -49,14 +49,14 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Bounds {
     all: usize,
-    /// Front nodes of the fleet.
-    fronts: u32,
+    /// To one server, as long as it has refused none.
+    spread: Spread,
 }
 
 impl Bounds {
     /// Three eighths of the descriptors, since callers hold a third.
     pub(super) fn of(config: &Config) -> Self {
-        Self { all: (config.sockets * 3 / 8).min(8 * MOST), fronts: config.settings.fronts }
+        Self { all: (config.sockets * 3 / 8).min(8 * MOST), spread: Spread::of_fleet(config.settings.fronts) }
     }
 
     /// Descriptors that callers may not have.
@@ -98,7 +98,7 @@
     /// Releases that wait for one.
     owed: VecDeque<Id>,
     failures: u32,
-    /// How many connections it is worth; `None` until the first is wanted.
+    /// How many connections it is worth; `None` until it refuses one.
     spread: Option<Spread>,
     dial_at: Micros,
     /// Since when no connection is up.
@@ -225,7 +225,7 @@
         match server.listed {
             Some(ServerState::Ready) => {
                 let share = self.bounds.all / self.known.len().max(1);
-                let spread = server.spread.unwrap_or(Spread::of_fleet(self.bounds.fronts));
+                let spread = server.spread.unwrap_or(self.bounds.spread);
                 spread.wanted(now, busy, share)
             }
             // Whatever answers there now is not the process that is gone.
@@ -403,11 +403,11 @@
         let Some(conn) = self.servers.remove(now, id) else { return };
         tracing::debug!("{:x}: connection {} not up, refused {refused}", conn.server, id.0);
         let up = self.servers.up(conn.server).count();
-        let fronts = self.servers.bounds.fronts;
+        let spread = self.servers.bounds.spread;
         let Some(server) = self.servers.known.get_mut(&conn.server) else { return };
         if up > 0 {
             // It serves, and takes no more.
-            server.spread.get_or_insert(Spread::of_fleet(fronts)).refused(now, up);
+            server.spread.get_or_insert(spread).refused(now, up);
         }
         server.dial_at = now + (REDIAL.0 << server.failures.min(8)).min(REDIAL.1);
         server.failures += 1;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -515,9 +515,7 @@
         // From a place drawn by chance: a message holds a dozen words, and of a longer list those at its
         // end would never be told of.
         let from = (chance(&mut self.rng) * self.servers.len() as f64) as usize;
-        let (before, after): (Vec<_>, Vec<_>) =
-            self.servers.iter().enumerate().partition(|(at, _)| *at < from);
-        let all = after.into_iter().chain(before).map(|(_, server)| server);
+        let all = self.servers.iter().skip(from).chain(self.servers.iter().take(from));
         let words = all.filter(|(_, server)| due(server));
         let took = |server: &Server| self.took(now, server.number);
         let payload = word::write(words.map(|(id, s)| s.word(now, *id, took(s))), MESSAGE_MAX);
