Schedules printed, played again and cut to the shortest that fails; fronts by another build

Found on the way, both the driver's own: (1) one of the first 60 of 200 runs of twelve.kdl failed since a killed front's port of 127.0.0.1 was taken when it came back (front5.log: os error 98; ruled out: a process of the front that stayed, since pidfd told its end); each front has a loopback address of its own now. (2) the reset of recover.kdl was never "back": it is over as it begins, its record line comes a moment later and was taken for the next fault; test in audit/tests/sums.rs fails without the mend.

--- a/crates/audit/src/sums.rs
+++ b/crates/audit/src/sums.rs
@@ -239,8 +239,9 @@
     let before: Vec<_> = seconds.range(..first / SECOND).map(|(_, second)| *second).collect();
     let Some(before) = share(&before) else { return Vec::new() };
     let last = seconds.keys().next_back().copied().unwrap_or(0);
-    let back = |over: u64| {
-        let next = faults.iter().map(|fault| fault.0).filter(|at| *at > over).min();
+    // Guards against a fault that is over as it begins and is on record a moment later: it is not the next one.
+    let back = |began: u64, over: u64| {
+        let next = faults.iter().map(|fault| fault.0).filter(|at| *at > over.max(began)).min();
         // The last second of a record is no whole one.
         let end = next.map_or(last, |at| at / SECOND);
         let from = over.div_ceil(SECOND);
@@ -249,10 +250,10 @@
             share(&all).is_some_and(|share| share >= before - NEAR)
         })
     };
-    let recovery = |(_, what, over): &(u64, &String, u64)| Recovery {
+    let recovery = |(began, what, over): &(u64, &String, u64)| Recovery {
         what: (*what).clone(),
         over: *over,
-        back: back(*over).map(|second| (second * SECOND).saturating_sub(*over)),
+        back: back(*began, *over).map(|second| (second * SECOND).saturating_sub(*over)),
     };
     faults.iter().map(recovery).collect()
 }
--- a/crates/audit/tests/sums.rs
+++ b/crates/audit/tests/sums.rs
@@ -93,8 +93,16 @@
         }
         record(moments)
     };
+    // Over as it began, and on record a moment later.
+    let mut at_once = day(3..4);
+    for line in &mut at_once {
+        if let Moment::Fault { over, .. } = &mut line.moment {
+            *over = line.at - 1;
+        }
+    }
     let back = |lines: &[Line]| sums(lines, &terms()).recoveries[0].back;
     assert_eq!(back(&day(3..4)), Some(0));
+    assert_eq!(back(&at_once), Some(500 * MS + 1));
     assert_eq!(back(&day(3..6)), Some(2_000 * MS));
     assert_eq!(back(&day(3..12)), None);
     let bound = SumTerms { back_within: Some(1_000 * MS), ..terms() };
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -1,13 +1,13 @@
 //! `baydrift day` and `baydrift audit`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 
 use baydrift_audit::{read_record, rules, write_record, Terms};
-use baydrift_day::{Day, Outcome, Policy, Program};
+use baydrift_day::{parse_troubles, schedule_text, Day, Outcome, Policy, Program, Shorten};
 use indicatif::{ProgressBar, ProgressStyle};
 use miette::{IntoDiagnostic, WrapErr};
 
@@ -59,6 +59,19 @@
     /// Troubles drawn by the seed instead of the script's.
     #[arg(long)]
     drawn: bool,
+    /// Troubles by this file instead of the script's: a schedule as a failed day prints it.
+    #[arg(long, conflicts_with = "drawn")]
+    troubles: Option<PathBuf>,
+    /// Prints the schedule and plays nothing.
+    #[arg(long)]
+    schedule: bool,
+    /// Cuts the schedule of a day that fails down to a shortest that still fails. Each trial is played up to so many
+    /// times; once is enough in virtual time.
+    #[arg(long, value_name = "TIMES", num_args = 0..=1, default_missing_value = "1", value_parser = clap::value_parser!(u32).range(1..=20))]
+    shorten: Option<u32>,
+    /// Starts the fronts by another build of the program, the stand-ins by this one.
+    #[arg(long, value_name = "PROGRAM", requires = "processes")]
+    fronts_by: Option<PathBuf>,
     /// Draws faults of processes, as --processes does: the same seed then plays the same schedule in virtual time.
     #[arg(long, requires = "drawn")]
     fleet: bool,
@@ -79,6 +92,9 @@
     day.seed = args.seed.unwrap_or(day.seed);
     day.heeds |= args.heeds;
     day.text = args.text.unwrap_or(day.text).clamp(0.0, 1.0);
+    if let Some(path) = &args.troubles {
+        day.troubles = parse_troubles(&path.display().to_string(), &crate::read(path)?, &day)?;
+    }
     if args.round_robin {
         day.policy = Policy::RoundRobin;
     }
@@ -103,6 +119,8 @@
     words.extend(args.calls_per_second.map(|rate| format!("--calls-per-second {rate}")));
     words.extend(args.seconds.map(|seconds| format!("--seconds {seconds}")));
     words.extend(args.text.map(|share| format!("--text {share}")));
+    words.extend(args.troubles.iter().map(|path| format!("--troubles {}", path.display())));
+    words.extend(args.fronts_by.iter().map(|path| format!("--fronts-by {}", path.display())));
     if args.from_bench.is_some() {
         words.push(format!("--fronts {}", args.fronts));
     }
@@ -141,6 +159,7 @@
             path.display(),
             again(args, day)
         );
+        print!("{}", schedule_text(&day.troubles));
     }
     Ok(())
 }
@@ -243,6 +262,10 @@
         return net(&args, &day);
     }
     let day = of_seed(&args, &day, day.seed);
+    if args.schedule {
+        print!("{}", schedule_text(&day.troubles));
+        return Ok(ExitCode::SUCCESS);
+    }
     let bar = ProgressBar::new(day.seconds.ceil() as u64);
     if let Ok(style) = ProgressStyle::with_template("{elapsed} [{bar:30}] {pos}/{len} s, {eta} left; {msg}") {
         bar.set_style(style);
@@ -255,19 +278,7 @@
         }
     };
     let logs = logs(&args)?;
-    let outcome = if args.in_virtual_time {
-        baydrift_day::run_virtual(&day, progress)
-    } else if let Some(logs) = &logs {
-        let program = Program {
-            path: std::env::current_exe().into_diagnostic()?,
-            logs: logs.clone(),
-            log_level: "warn".to_owned(),
-        };
-        baydrift_day::run_processes(&day, program, progress).await
-    } else {
-        baydrift_day::run(&day, progress).await
-    };
-    let outcome = outcome.into_diagnostic()?;
+    let outcome = play(&args, &day, logs.as_deref(), progress).await?;
     bar.finish_and_clear();
     let policy = if day.policy == Policy::RoundRobin { "round robin" } else { "baydrift" };
     println!(
@@ -293,6 +304,9 @@
     outcome.driver.iter().for_each(|what| println!("  the driver: {what}"));
     outcome.crashed.iter().for_each(|what| println!("  {what}"));
     let good = outcome.good();
+    if let Some(times) = args.shorten.filter(|_| !good) {
+        shorten(&args, &day, &outcome, times, logs.as_deref()).await?;
+    }
     match logs.filter(|_| args.logs.is_none()) {
         Some(logs) if good => std::fs::remove_dir_all(&logs).into_diagnostic()?,
         Some(logs) => println!("  the processes' logs and configurations are in {}", logs.display()),
@@ -301,6 +315,66 @@
     Ok(if good { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// Plays a day as the arguments say.
+async fn play(
+    args: &Args,
+    day: &Day,
+    logs: Option<&Path>,
+    progress: impl FnMut(f64, &str),
+) -> miette::Result<Outcome> {
+    let outcome = if args.in_virtual_time {
+        baydrift_day::run_virtual(day, progress)
+    } else if let Some(logs) = logs {
+        let program = Program {
+            path: std::env::current_exe().into_diagnostic()?,
+            fronts_by: args.fronts_by.clone(),
+            logs: logs.to_owned(),
+            log_level: "warn".to_owned(),
+        };
+        baydrift_day::run_processes(day, program, progress).await
+    } else {
+        baydrift_day::run(day, progress).await
+    };
+    outcome.into_diagnostic()
+}
+
+/// Cuts the schedule of a day that failed down to a shortest that fails in a way that this one did, and prints it.
+async fn shorten(
+    args: &Args,
+    day: &Day,
+    outcome: &Outcome,
+    times: u32,
+    logs: Option<&Path>,
+) -> miette::Result<()> {
+    let ways = outcome.failures();
+    let mut cut = Shorten::new(day.troubles.clone());
+    while let Some(troubles) = cut.trial() {
+        let trial = Day { troubles, ..day.clone() };
+        let mut failed = false;
+        for _ in 0..if args.in_virtual_time { 1 } else { times } {
+            let played = play(args, &trial, logs, |_, _| {}).await?;
+            failed = !ways.is_disjoint(&played.failures());
+            if failed {
+                break;
+            }
+        }
+        cut.told(failed);
+        eprintln!(
+            "trial {}: {} of {} troubles still fail",
+            cut.trials(),
+            cut.kept().len(),
+            day.troubles.len()
+        );
+    }
+    println!("  a shortest schedule that fails so ({}), after {} trials:", list(&ways), cut.trials());
+    print!("{}", schedule_text(cut.kept()));
+    Ok(())
+}
+
+fn list(ways: &BTreeSet<String>) -> String {
+    ways.iter().cloned().collect::<Vec<_>>().join(", ")
+}
+
 /// Where the processes of this day write, if it has any.
 fn logs(args: &Args) -> miette::Result<Option<PathBuf>> {
     if !args.processes {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -70,6 +70,15 @@
     /// One stand-in of a day as a process: what it plays comes on standard input.
     #[command(hide = true)]
     StandIn,
+    /// Becomes another build of the program, tied to whom this one is tied to.
+    #[command(hide = true)]
+    Become {
+        /// The other build.
+        program: PathBuf,
+        /// What it is started with.
+        #[arg(last = true)]
+        words: Vec<String>,
+    },
     /// The trunk groups of a running front: what circuits are used for, for how long, and the last audit.
     Circuits(circuits::Args),
 }
@@ -96,6 +105,12 @@
         Command::Audit { record } => day::audit(&record),
         Command::Trunks(args) => runtime()?.block_on(trunks::run(&args)),
         Command::StandIn => runtime()?.block_on(day::stand_in()),
+        Command::Become { program, words } => {
+            use std::os::unix::process::CommandExt;
+            let mut other = std::process::Command::new(&program);
+            let error = other.args(["--log-level", &args.log_level]).args(words).exec();
+            Err(error).into_diagnostic().wrap_err_with(|| format!("cannot become {}", program.display()))
+        }
         Command::Circuits(args) => runtime()?.block_on(circuits::run(&args)),
     }
 }
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -131,3 +131,53 @@
     let text = String::from_utf8_lossy(&output.stderr);
     assert!(text.contains("--processes"), "{text}");
 }
+
+#[test]
+fn a_schedule_that_fails_is_cut_to_what_makes_it_fail_and_fails_again_as_printed() {
+    // One of five passes the day's bound: what all callers together make a server do.
+    let troubles = "bounds overshoot=1.6
+pause server=0 at=\"500ms\" for=\"200ms\"
+hang server=1 at=\"2s\" for=\"300ms\"
+burst factor=8.0 at=\"4s\" for=\"2s\"
+stall front=2 at=\"7s\" for=\"400ms\"
+list-lag lag=\"1s\" at=\"8s\" for=\"1s\"
+";
+    let (script, folder) = script("shorten", 10, troubles);
+    let play = |words: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_baydrift"));
+        let output = command.arg("day").arg(&script).arg("--virtual").args(words).output().expect("it ends");
+        (output.status.success(), String::from_utf8_lossy(&output.stdout).into_owned())
+    };
+    let (good, text) = play(&["--shorten"]);
+    let (_, shortest) = text.split_once("a shortest schedule").unwrap_or_else(|| panic!("none: {text}"));
+    let lines: Vec<_> = shortest.lines().skip(1).collect();
+    assert!(!good && lines.len() == 1 && lines[0].starts_with("burst"), "{text}");
+    let file = folder.join("shortest.kdl");
+    std::fs::write(&file, lines.join("\n")).expect("a file");
+    let (good, text) = play(&["--troubles", file.to_str().expect("a name")]);
+    assert!(!good && text.contains("PASSED A BOUND"), "{text}");
+    std::fs::write(&file, "").expect("a file");
+    assert!(play(&["--troubles", file.to_str().expect("a name")]).0, "without it the day is good");
+}
+
+#[test]
+fn fronts_of_another_build_end_with_the_driver_too() {
+    let (script, folder) = script("another", 60, "");
+    let other = folder.join("another-build");
+    std::fs::copy(env!("CARGO_BIN_EXE_baydrift"), &other).expect("a copy");
+    let mut child = driver(&script, &folder).arg("--fronts-by").arg(&other).spawn().expect("the driver");
+    let pid = child.id();
+    let by_other = |pid: u32| std::fs::read_link(format!("/proc/{pid}/exe")).is_ok_and(|path| path == other);
+    until(|| children(pid).iter().filter(|(pid, _)| by_other(*pid)).count() == 3);
+    let all = children(pid);
+    child.kill().expect("it runs");
+    child.wait().expect("it ended");
+    until(|| left(&all) == 0);
+    // One that cannot be started is told by its name.
+    let wrong = folder.join("none");
+    let output = driver(&script, &folder).arg("--fronts-by").arg(&wrong).output().expect("it ends");
+    assert!(
+        !output.status.success() && String::from_utf8_lossy(&output.stderr).contains("front0"),
+        "{output:?}"
+    );
+}
--- a/crates/day/src/cast.rs
+++ b/crates/day/src/cast.rs
@@ -35,8 +35,21 @@
     /// On loopback, wherever there is room.
     fn default() -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::on(any)
+    }
+}
+
+impl Places {
+    fn on(any: SocketAddr) -> Self {
         Self { clients: any, pool: any, text: any, fleet: any, others: Vec::new() }
     }
+
+    /// An address of the loopback range for each front of a driver. Guards against a port that is another's by the time
+    /// at which a killed front is back: 127.0.0.1 is where connections of everything on the machine begin.
+    pub fn of_process(driver: u32, ordinal: u32) -> Self {
+        let [high, low] = [driver / 250 % 250, driver % 250].map(|part| part as u8 + 1);
+        Self::on(SocketAddr::from(([127, high, low, (ordinal % 250) as u8 + 2], 0)))
+    }
 }
 
 /// The configuration of one front of a day, as an operator would write it.
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -11,6 +11,7 @@
 mod processes;
 mod rounds;
 mod run;
+mod schedule;
 mod script;
 mod table;
 
@@ -23,5 +24,8 @@
 pub use processes::{play_role, run_processes, Program, RoleError};
 pub use rounds::{rounds, RoundsError, RoundsSpec, RoundsTally};
 pub use run::{run, Outcome};
-pub use script::{parse, Bounds, Class, Day, Party, Policy, Publisher, Servers, Trouble, What};
+pub use schedule::{schedule_text, Shorten};
+pub use script::{
+    parse, parse_troubles, Bounds, Class, Day, Party, Policy, Publisher, Servers, Trouble, What,
+};
 pub use table::{sums_table, table};
--- a/crates/day/src/processes/child.rs
+++ b/crates/day/src/processes/child.rs
@@ -23,6 +23,8 @@
 pub struct Program {
     /// Where it is.
     pub path: PathBuf,
+    /// Another build, by which fronts are started.
+    pub fronts_by: Option<PathBuf>,
     /// Where its processes' logs go; a folder that is there.
     pub logs: PathBuf,
     /// What is logged there.
--- a/crates/day/src/processes/mod.rs
+++ b/crates/day/src/processes/mod.rs
@@ -117,7 +117,7 @@
     let (mut fronts, mut lists) = (Vec::new(), Vec::new());
     for (ordinal, others) in others.into_iter().enumerate() {
         let addrs: Vec<_> = streams[ordinal].iter().map(|relay| relay.addr).collect();
-        let places = Places { others, ..Places::default() };
+        let places = Places { others, ..Places::of_process(std::process::id(), ordinal as u32) };
         let (front, places) = cast.front(ordinal as u32, &addrs, &places).await?;
         let seed = salt(3, ordinal, 0);
         lists.push(Streams::start(places.pool, day.net, seed, None, recorder.clone(), own.clone()).await?);
--- a/crates/day/src/processes/stage.rs
+++ b/crates/day/src/processes/stage.rs
@@ -124,7 +124,11 @@
         places: &Places,
     ) -> Result<(Self, Places), DayError> {
         let config = config.to_string_lossy();
-        let mut child = Child::start(program, name, &["front", &config])?;
+        let other = program.fronts_by.as_deref().map(Path::to_string_lossy);
+        // An older build may not know what ties it to the driver: it takes the place of a process that is tied.
+        let mut words = other.as_ref().map_or(Vec::new(), |other| vec!["become", other.as_ref(), "--"]);
+        words.extend(["front", &config]);
+        let mut child = Child::start(program, name, &words)?;
         let mut lines = child.lines().ok_or(DayError::Ended)?;
         let mut places = places.clone();
         let mut missing = 3 + usize::from(fleet);
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -1,6 +1,6 @@
 //! Plays a day on sockets.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -42,6 +42,15 @@
 }
 
 impl Outcome {
+    /// In which ways it failed, as one day's failure is told from another's: the rules that broke, a bound, an end
+    /// that nobody asked for.
+    pub fn failures(&self) -> BTreeSet<String> {
+        let rules = self.verdict.breaches.iter().map(|breach| format!("{:?}", breach.rule));
+        let bound = (!self.sums.passed.is_empty()).then(|| "a bound".to_owned());
+        let crashed = (!self.crashed.is_empty()).then(|| "a process".to_owned());
+        rules.chain(bound).chain(crashed).collect()
+    }
+
     /// Whether no rule broke, no bound was passed and no process did what nobody asked of it.
     pub fn good(&self) -> bool {
         self.verdict.kept() && self.sums.passed.is_empty() && self.crashed.is_empty()
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -1,7 +1,7 @@
 //! The script of a day, in KDL.
 
 use baydrift::interface::Micros;
-use baydrift_config::{parse_document, ConfigError, Node};
+use baydrift_config::{parse_document, ConfigError, Node, Problems};
 use baydrift_emulator::WaySpec;
 use serde::{Deserialize, Serialize};
 
@@ -363,8 +363,34 @@
     if day.classes.is_empty() || day.publishers.is_empty() {
         problems.add((0, 0).into(), "a day needs a class and a publisher", None);
     }
+    known(&day, &day.troubles, &problems);
+    problems.finish(name)?;
+    day.troubles.sort_by_key(|trouble| trouble.at);
+    Ok(day)
+}
+
+/// Reads a schedule by itself: troubles, and nothing else, for a day's fronts and servers.
+///
+/// # Errors
+/// All that is wrong, each with its place.
+pub fn parse_troubles(name: &str, text: &str, day: &Day) -> Result<Vec<Trouble>, ConfigError> {
+    let (document, problems) = parse_document(name, text)?;
+    let mut troubles = Vec::new();
+    for node in document.nodes() {
+        let node = Node::new(node, &problems);
+        troubles.extend(read_trouble(&node));
+        node.done();
+    }
+    known(day, &troubles, &problems);
+    problems.finish(name)?;
+    troubles.sort_by_key(|trouble| trouble.at);
+    Ok(troubles)
+}
+
+/// Whatever a trouble names is there.
+fn known(day: &Day, troubles: &[Trouble], problems: &Problems) {
     let (servers, fronts) = (day.servers.rates.len(), day.fronts as usize);
-    for trouble in &day.troubles {
+    for trouble in troubles {
         let out = |party: &Party| match party {
             Party::Front(front) => *front >= fronts,
             Party::Server(server) => *server >= servers,
@@ -375,9 +401,6 @@
             problems.add((0, 0).into(), text, Some("both count from 0"));
         }
     }
-    problems.finish(name)?;
-    day.troubles.sort_by_key(|trouble| trouble.at);
-    Ok(day)
 }
 
 impl What {
