Sums at 300 fronts in virtual time, ranges of fronts in scripts, CPU and memory of a front

Scripts take up to 512 fronts and ranges of them. The driver reads each front's CPU and memory from the system's table before it ends it.

--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -290,7 +290,7 @@
         day.seed
     );
     print!("{}", baydrift_day::table(&outcome.verdict, &outcome.service));
-    if args.processes || !outcome.sums.passed.is_empty() {
+    if args.processes || day.fronts > 1 || !outcome.sums.passed.is_empty() {
         print!("{}", baydrift_day::sums_table(&outcome.sums));
     }
     keep(&args, &day, &outcome)?;
--- a/crates/day/src/processes/child.rs
+++ b/crates/day/src/processes/child.rs
@@ -9,7 +9,7 @@
 use std::process::{ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rustix::process::{pidfd_open, pidfd_send_signal, Pid, PidfdFlags, Signal};
 use tokio::io::{AsyncBufReadExt, BufReader};
@@ -34,6 +34,8 @@
 /// A process that runs, or has ended. Dropped, it is killed.
 pub(crate) struct Child {
     pub(crate) name: String,
+    pid: Pid,
+    started: Instant,
     fd: OwnedFd,
     /// Its end was asked for.
     asked: Arc<AtomicBool>,
@@ -79,7 +81,8 @@
             }
         });
         let asked = Arc::new(AtomicBool::new(false));
-        Ok(Self { name: name.to_owned(), fd, asked, ended, waits, stdin, stdout, log })
+        let (name, started) = (name.to_owned(), Instant::now());
+        Ok(Self { name, pid, started, fd, asked, ended, waits, stdin, stdout, log })
     }
 
     /// What it writes to standard output, line by line; once.
@@ -135,6 +138,23 @@
         by_itself
     }
 
+    /// What it has used: the share of a core since it started, and its memory at most, in MB. `None` once it has ended.
+    pub(crate) fn used(&self) -> Option<(f64, f64)> {
+        let of =
+            |what: &str| std::fs::read_to_string(format!("/proc/{}/{what}", self.pid.as_raw_nonzero())).ok();
+        let (stat, status) = (of("stat")?, of("status")?);
+        if !self.runs() {
+            return None;
+        }
+        // After the name in brackets: state, and eleven more before the time in user mode and in the system's.
+        let fields: Vec<_> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+        let cpu = ticks / rustix::param::clock_ticks_per_second() as f64;
+        let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kb = most.split_whitespace().next()?.parse::<f64>().ok()?;
+        Some((cpu / self.started.elapsed().as_secs_f64().max(1e-3), kb / 1e3))
+    }
+
     /// Why it ended, where nobody asked it to.
     pub(crate) fn crash(&self) -> Option<String> {
         let status = *self.ended.borrow();
--- a/crates/day/src/processes/mod.rs
+++ b/crates/day/src/processes/mod.rs
@@ -155,6 +155,6 @@
     let (crossed, crashed) = stage.close().await;
     let mut lines = recorder.lines();
     lines.retain(|line| line.at <= ended && line.moment != Moment::End);
-    let driver = std::iter::once(crossed).chain(own.faults()).collect();
+    let driver = crossed.into_iter().chain(own.faults()).collect();
     Ok(Outcome { crashed, driver, ..outcome(day, lines, Vec::new()) })
 }
--- a/crates/day/src/processes/stage.rs
+++ b/crates/day/src/processes/stage.rs
@@ -219,10 +219,11 @@
     }
 
     /// Ends all processes. What crossed the net, and the program's faults: ended by itself, or stayed behind.
-    pub(crate) async fn close(mut self) -> (String, Vec<String>) {
+    pub(crate) async fn close(mut self) -> (Vec<String>, Vec<String>) {
         while self.tasks.join_next().await.is_some() {}
         let mut faults = std::mem::take(&mut *lock(&self.faults));
         let fronts: Vec<_> = self.fronts.iter().filter_map(|slot| lock(&slot.now).take()).collect();
+        let used: Vec<_> = fronts.iter().filter_map(|front| front.used()).collect();
         for front in &fronts {
             faults.extend(front.crash());
             front.freeze(false);
@@ -244,7 +245,19 @@
         }
         let opened: u64 = self.streams.iter().flatten().chain(&self.lists).map(Streams::opened).sum();
         let datagrams: u64 = self.pairs.iter().map(|(.., relay)| relay.carried()).sum();
-        (format!("{opened} connections and {datagrams} datagrams crossed the net"), faults)
+        let crossed = format!("{opened} connections and {datagrams} datagrams crossed the net");
+        let mean = |all: &mut dyn Iterator<Item = f64>| all.sum::<f64>() / used.len().max(1) as f64;
+        let most = |all: &mut dyn Iterator<Item = f64>| all.fold(0.0, f64::max);
+        let (cores, memory) = (|| used.iter().map(|used| used.0), || used.iter().map(|used| used.1));
+        let used = format!(
+            "a front used {:.4} of a core on the mean and {:.4} at most, {:.1} and {:.1} MB; {} still ran",
+            mean(&mut cores()),
+            most(&mut cores()),
+            mean(&mut memory()),
+            most(&mut memory()),
+            used.len()
+        );
+        (vec![crossed, used], faults)
     }
 
     fn front(&self, front: usize) -> Option<Arc<Child>> {
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -10,6 +10,8 @@
 const MS: u64 = 1_000;
 const S: u64 = 1_000_000;
 const HOUR: u64 = 3_600 * S;
+/// Fronts of a day; as processes, what the machine carries.
+const FRONTS_MOST: usize = 512;
 
 /// Which policy fronts run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -356,7 +358,7 @@
                 share: node.number("share", 0.0..=1e6).unwrap_or(1.0),
                 quota: node.number("quota", 0.0..=1e9).unwrap_or(1e9),
             }),
-            _ => day.troubles.extend(read_trouble(&node)),
+            _ => day.troubles.extend(read_troubles(&node)),
         }
         node.done();
     }
@@ -378,7 +380,7 @@
     let mut troubles = Vec::new();
     for node in document.nodes() {
         let node = Node::new(node, &problems);
-        troubles.extend(read_trouble(&node));
+        troubles.extend(read_troubles(&node));
         node.done();
     }
     known(day, &troubles, &problems);
@@ -481,7 +483,7 @@
 fn read_day(node: &Node<'_>, day: &mut Day) {
     day.seconds = node.number("seconds", 0.1..=86_400.0).unwrap_or(day.seconds);
     day.seed = node.whole("seed", 0..=u64::MAX).unwrap_or(day.seed);
-    day.fronts = node.whole("fronts", 1..=64).unwrap_or(1) as u32;
+    day.fronts = node.whole("fronts", 1..=FRONTS_MOST as u64).unwrap_or(1) as u32;
     day.watchdog = node.time("watchdog", 50 * MS..=HOUR).unwrap_or(day.watchdog);
     day.list_lag = node.time("list-lag", 0..=HOUR).unwrap_or(day.list_lag);
     match node.text("policy").as_deref() {
@@ -593,9 +595,35 @@
     all
 }
 
+/// A trouble; many, where fronts are named as a range: `fronts="0-6"`.
+fn read_troubles(node: &Node<'_>) -> Vec<Trouble> {
+    let Some(trouble) = read_trouble(node) else { return Vec::new() };
+    let Some(range) = node.text("fronts") else { return vec![trouble] };
+    let ends = range.split_once('-').and_then(|(a, b)| Some(a.parse::<usize>().ok()?..=b.parse().ok()?));
+    let Some(fronts) = ends.filter(|fronts| !fronts.is_empty() && *fronts.end() < FRONTS_MOST) else {
+        node.wrong_at("fronts", "fronts is no range", Some("fronts=\"0-6\""));
+        return Vec::new();
+    };
+    let of = |front: usize| {
+        let what = match trouble.what.clone() {
+            What::Kill { back_after, .. } => What::Kill { front, back_after },
+            What::Restart { back_after, .. } => What::Restart { front, back_after },
+            What::Stall { .. } => What::Stall { front },
+            What::Reconnect { .. } => What::Reconnect { front },
+            What::Crashing { times, .. } => What::Crashing { front, times },
+            other => {
+                node.wrong_at("fronts", "this trouble is not of fronts", None);
+                other
+            }
+        };
+        Trouble { what, ..trouble.clone() }
+    };
+    fronts.map(of).collect()
+}
+
 fn read_trouble(node: &Node<'_>) -> Option<Trouble> {
     let server = || node.whole("server", 0..=255).unwrap_or(0) as usize;
-    let front = || node.whole("front", 0..=63).unwrap_or(0) as usize;
+    let front = || node.whole("front", 0..=FRONTS_MOST as u64 - 1).unwrap_or(0) as usize;
     let back_after = || node.time("back-after", 0..=HOUR);
     let share = || node.number("share", 0.0..=1.0).unwrap_or(1.0);
     let factor = || node.number("factor", 0.0..=100.0).unwrap_or(2.0);
--- a/crates/day/tests/schedule.rs
+++ b/crates/day/tests/schedule.rs
@@ -1,6 +1,6 @@
 //! Schedules in writing and cut short.
 
-use baydrift_day::{drawn, drawn_for_processes, parse, parse_troubles, schedule_text, Day, Shorten};
+use baydrift_day::{drawn, drawn_for_processes, parse, parse_troubles, schedule_text, Day, Party, Shorten};
 
 fn day() -> Day {
     let script = include_str!("../../../days/twelve.kdl");
@@ -24,11 +24,23 @@
 
 #[test]
 fn a_schedule_that_names_what_is_not_there_or_sets_something_is_turned_down() {
-    for wrong in
-        ["kill front=12 at=\"1s\"", "reset server=6 at=\"1s\"", "calls per-second=3", "kil front=0 at=\"1s\""]
-    {
+    for wrong in [
+        "kill front=12 at=\"1s\"",
+        "reset server=6 at=\"1s\"",
+        "calls per-second=3",
+        "kil front=0 at=\"1s\"",
+        "kill fronts=\"3-1\" at=\"1s\"",
+        "kill fronts=\"0-12\" at=\"1s\"",
+        "hang fronts=\"0-1\" at=\"1s\"",
+    ] {
         assert!(parse_troubles("wrong.kdl", wrong, &day()).is_err(), "{wrong}");
     }
+    let range = parse_troubles("range.kdl", "kill fronts=\"3-9\" at=\"1s\" back-after=\"50ms\"", &day())
+        .expect("a range");
+    assert_eq!(
+        (range.len(), range[0].what.names(), range[6].what.names()),
+        (7, vec![Party::Front(3)], vec![Party::Front(9)])
+    );
 }
 
 #[test]
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -398,7 +398,7 @@
             Event::Severed(id, end) => {
                 let Some(conn) = self.conns.get(id).filter(|conn| conn.open[end]) else { return };
                 let at = if end == 0 { conn.initiator } else { conn.responder };
-                self.conns.close(id, end);
+                self.shut(id, end);
                 self.closed(id, at);
             }
             // What a process that was killed had in its queues went with it.
@@ -505,10 +505,19 @@
     fn close(&mut self, id: u64, end: usize) {
         if self.conns.get(id).is_some_and(|conn| conn.open[end]) {
             self.post(id, if end == 0 { THERE } else { BACK }, Parcel::Closed);
-            self.conns.close(id, end);
+            self.shut(id, end);
         }
     }
 
+    /// One end of an open transport lets go of it; what a server holds is on record.
+    fn shut(&mut self, id: u64, end: usize) {
+        let ends = self.conns.get(id).filter(|_| end == 1).map(|conn| (conn.initiator, conn.responder));
+        if let Some((End::FrontServer(front, _), End::Server(server))) = ends {
+            self.record(Moment::Parting { server: server as u16, front: front as u32 });
+        }
+        self.conns.close(id, end);
+    }
+
     fn connect(&mut self, initiator: End, responder: End) -> u64 {
         let link = match responder {
             End::Server(server) if self.faults.contains_key(&server) => Some(server),
@@ -543,7 +552,8 @@
             return;
         }
         self.post(id, BACK, Parcel::Connected);
-        if let End::Server(server) = responder {
+        if let (End::FrontServer(front, _), End::Server(server)) = (initiator, responder) {
+            self.record(Moment::Linked { server: server as u16, front: front as u32 });
             self.server(server, ServerInput::Accepted(id));
         }
         if let (End::Far(far), End::FrontFar(front, _)) = (responder, initiator) {
@@ -580,7 +590,7 @@
             },
             Parcel::Message(message) => self.message(id, at, *message),
             Parcel::Closed => {
-                self.conns.close(id, receiving);
+                self.shut(id, receiving);
                 self.closed(id, at);
             }
         }
@@ -861,6 +871,7 @@
             }
             DeskOutput::ToFront { to, payload } => {
                 let place = to as usize;
+                self.record(Moment::Word { from: front as u32, to, bytes: payload.len() });
                 let heard = place < self.fronts.len() && self.rng.random::<f64>() >= self.messages_lost;
                 if heard && !self.is_severed(Place::Front(front), Place::Front(place)) {
                     let input = DeskInput::Fleet { from: front as u32, payload };
