--- a/crates/budget/src/escrow.rs
+++ b/crates/budget/src/escrow.rs
@@ -90,8 +90,6 @@
     over: Micros,
     /// When each is free, by [`Steps::sure`].
     units: Vec<Micros>,
-    /// When one was spent last, by the clock.
-    spent_at: Micros,
 }
 
 /// An ask without an answer yet.
@@ -184,7 +182,8 @@
         let over: Vec<_> =
             self.lent.iter().filter(|(_, loan)| loan.over <= sure).map(|(ask, _)| *ask).collect();
         for ask in over {
-            self.reclaim(&ask);
+            // Whoever had it may have spent it a moment ago.
+            self.reclaim(&ask, self.terms.spent_for());
         }
     }
 
@@ -197,12 +196,12 @@
         if let Some(loan) = loans.min_by_key(|loan| loan.over) {
             loan.units.remove(0);
             loan.units.push(free_at);
-            loan.spent_at = now;
             return true;
         }
         if self.own.first().is_none_or(|free| *free > sure) {
             return false;
         }
+        // In order: no unit is busy for longer than one that is spent now.
         self.own.remove(0);
         self.own.push(free_at);
         true
@@ -234,9 +233,10 @@
     /// Gives a loan back: from now on it is not here.
     pub fn give_back(&mut self, now: Micros, loan: u32) -> Option<(u32, Word)> {
         self.advance(now);
-        let to = self.borrowed.remove(&loan)?.from;
+        let Borrowed { from, units, .. } = self.borrowed.remove(&loan)?;
         let ask = Ask { front: self.me, incarnation: self.incarnation, number: loan };
-        Some((to, Word::Back { budget: self.budget, ask }))
+        let busy = units.last().map_or(0, |free| free.saturating_sub(self.steps.sure()));
+        Some((from, Word::Back { budget: self.budget, ask, busy }))
     }
 
     fn asked(&mut self, now: Micros, to: u32, keeps: Option<u32>) -> Ask {
@@ -256,8 +256,9 @@
         match *word {
             Word::Ask { ask, wanted, .. } if ask.front == from => self.lend(ask, wanted, reserve),
             Word::Keep { ask, loan, .. } if ask.front == from => self.prolong(ask, loan, reserve),
-            Word::Back { ask, .. } if ask.front == from => {
-                self.reclaim(&ask);
+            Word::Back { ask, busy, .. } if ask.front == from => {
+                // The word has been on its way since it was true: waiting all of it is enough.
+                self.reclaim(&ask, self.terms.drifted(busy.min(self.terms.spent_for()), 2));
                 None
             }
             Word::Grant { ask, units, .. } if ask.front == self.me && ask.incarnation == self.incarnation => {
@@ -302,10 +303,10 @@
         Some(Word::Grant { budget: self.budget, ask, units: loan.units })
     }
 
-    /// A loan is back, or over: whoever had it may have spent it a moment ago.
-    fn reclaim(&mut self, ask: &Ask) {
+    /// A loan is back, or over; its units can be spent again after `busy`.
+    fn reclaim(&mut self, ask: &Ask, busy: Micros) {
         let Some(loan) = self.lent.remove(ask) else { return };
-        let free_at = self.steps.sure() + self.terms.spent_for();
+        let free_at = self.steps.sure() + busy;
         self.own.extend(std::iter::repeat_n(free_at, usize::from(loan.units)));
         self.own.sort_unstable();
     }
@@ -328,7 +329,7 @@
             }
             None => {
                 let units = vec![self.steps.sure(); usize::from(units)];
-                self.borrowed.insert(number, Borrowed { from, over, units, spent_at: now });
+                self.borrowed.insert(number, Borrowed { from, over, units });
             }
         }
     }
@@ -352,9 +353,9 @@
         }
     }
 
-    /// Its loans from others: which, until when, and when one of its units was spent last.
-    pub fn loans(&self) -> impl Iterator<Item = (u32, Micros, Micros)> + '_ {
-        self.borrowed.iter().map(|(number, loan)| (*number, loan.over, loan.spent_at))
+    /// Its loans from others: which, until when, and of how many units.
+    pub fn loans(&self) -> impl Iterator<Item = (u32, Micros, u32)> + '_ {
+        self.borrowed.iter().map(|(number, loan)| (*number, loan.over, loan.units.len() as u32))
     }
 
     /// The terms.
--- a/crates/budget/src/word.rs
+++ b/crates/budget/src/word.rs
@@ -56,6 +56,8 @@
         budget: BudgetId,
         /// The ask that brought it.
         ask: Ask,
+        /// All its units can be spent again after so many microseconds.
+        busy: u64,
     },
 }
 
--- /dev/null
+++ b/crates/cli/src/budgets.rs
@@ -0,0 +1,172 @@
+//! `baydrift budgets`: fleets that share a budget, in virtual time.
+
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+use baydrift_budget::{Seeking, Terms};
+use baydrift_emulator::{drawn_troubles, share_budget, BudgetSpec, BudgetTally, Sharing, Trouble, WaySpec};
+
+const S: u64 = 1_000_000;
+
+#[derive(clap::Args)]
+pub struct Args {
+    /// Fronts by the settings.
+    #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u32).range(2..=1000))]
+    fronts: u32,
+    /// Units of the budget, each spent once a second.
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u32).range(1..=100_000))]
+    units: u32,
+    /// Seconds.
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=3600))]
+    seconds: u64,
+    /// Units wanted a second, over all fronts, as a multiple of the budget.
+    #[arg(long, default_value_t = 2.0)]
+    wanted: f64,
+    /// Share of fronts that carry nine tenths of what is wanted.
+    #[arg(long, default_value_t = 0.1)]
+    busy: f64,
+    /// Share of fronts that are down throughout.
+    #[arg(long, default_value_t = 0.33)]
+    down: f64,
+    /// Share of datagrams between fronts that are lost.
+    #[arg(long, default_value_t = 0.05)]
+    lost: f64,
+    /// A loan lasts so many milliseconds.
+    #[arg(long, default_value_t = 4_000, value_parser = clap::value_parser!(u64).range(200..=60_000))]
+    lease_ms: u64,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Plays so many seeds with drawn faults instead: deaths, standstills, deaf and mute fronts, clocks that jump.
+    #[arg(long)]
+    seeds: Option<u64>,
+}
+
+fn spec(args: &Args, seed: u64, sharing: Sharing) -> BudgetSpec {
+    let busy = ((f64::from(args.fronts) * args.busy).round() as u32).clamp(1, args.fronts - 1);
+    let all = args.wanted * f64::from(args.units);
+    // Busy ones first by place, and places are mixed with what is down by a step that shares no factor with most fleets.
+    let wanted = |front: u32| {
+        let place = front * 7 % args.fronts;
+        if place < busy {
+            all * 0.9 / f64::from(busy)
+        } else {
+            all * 0.1 / f64::from(args.fronts - busy)
+        }
+    };
+    let down = (f64::from(args.fronts) * args.down) as u32;
+    let dead = (0..args.fronts).filter(|front| front * 11 % args.fronts < down);
+    let terms = Terms { window: S, lease: args.lease_ms * 1_000, step_most: S / 10, drift_ppm: 200 };
+    BudgetSpec {
+        fronts: args.fronts,
+        units: args.units,
+        terms,
+        seeking: Seeking { every: S / 10, at_once: 3 },
+        way: WaySpec {
+            delay: 2_000,
+            jitter: 3_000,
+            lost: args.lost,
+            doubled: 0.02,
+            reordered: 0.02,
+            rate: 0,
+        },
+        sharing,
+        wanted: (0..args.fronts).map(wanted).collect(),
+        span: args.seconds * S,
+        heard_within: S / 2,
+        troubles: dead.map(|front| (0, front, Trouble::Dies(None))).collect(),
+        drift_ppm: 100,
+        seed,
+    }
+}
+
+fn line(name: &str, args: &Args, tally: &BudgetTally) {
+    let each = args.seconds as f64 * f64::from(args.fronts);
+    println!(
+        "  {name:<22} used {:.3} of what could be, {:>4} spent in a window at most, of {}; {:.2} words and {:.0} bytes a front and second",
+        tally.used,
+        tally.most,
+        args.units,
+        tally.words as f64 / each,
+        tally.bytes as f64 / each
+    );
+}
+
+pub fn run(args: &Args) -> ExitCode {
+    match args.seeds {
+        Some(seeds) => many(args, seeds),
+        None => {
+            println!(
+                "{} fronts, {:.0}% of them down, {} units a second, {:.1} of it wanted, nine tenths by {:.0}% of the fronts, {} s, virtual time",
+                args.fronts,
+                args.down * 100.0,
+                args.units,
+                args.wanted,
+                args.busy * 100.0,
+                args.seconds
+            );
+            let ways = [
+                ("fixed shares", Sharing::Fixed),
+                ("by the number believed", Sharing::Believed),
+                ("units lent", Sharing::Escrow),
+                ("one that knows all", Sharing::KnowsAll),
+            ];
+            let mut over = false;
+            for (name, sharing) in ways {
+                let tally = share_budget(&spec(args, args.seed, sharing));
+                line(name, args, &tally);
+                over |= sharing == Sharing::Escrow && tally.most > args.units as usize;
+            }
+            if over {
+                ExitCode::FAILURE
+            } else {
+                ExitCode::SUCCESS
+            }
+        }
+    }
+}
+
+/// Drawn faults, on all cores.
+fn many(args: &Args, seeds: u64) -> ExitCode {
+    let next = AtomicU64::new(args.seed);
+    let sum = Mutex::new((0_u64, 0_u64, 0.0_f64, 0_usize));
+    let began = std::time::Instant::now();
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= args.seed + seeds {
+                    return;
+                }
+                let mut spec = spec(args, seed, Sharing::Escrow);
+                spec.troubles = drawn_troubles(args.fronts, spec.span, spec.terms.lease, seed);
+                let tally = share_budget(&spec);
+                let over = tally.most > args.units as usize;
+                let mut sum = sum.lock().unwrap_or_else(PoisonError::into_inner);
+                sum.0 += u64::from(over);
+                sum.1 += tally.spent;
+                sum.2 += tally.used;
+                sum.3 = sum.3.max(tally.most);
+                if over {
+                    println!("  seed {seed}: {} units in a window, of {}", tally.most, args.units);
+                }
+            });
+        }
+    });
+    let (over, spent, used, most) = *sum.lock().unwrap_or_else(PoisonError::into_inner);
+    println!(
+        "{seeds} seeds of {} fronts and {} units, {} s each with drawn faults: {over} over the bound, {most} at most; {spent} spent, {:.3} used on the mean; {:.0} s on {threads} threads",
+        args.fronts,
+        args.units,
+        args.seconds,
+        used / seeds.max(1) as f64,
+        began.elapsed().as_secs_f64()
+    );
+    if over == 0 && spent > 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! `baydrift`: the call router's command line.
 
+mod budgets;
 mod circuits;
 mod day;
 mod demo;
@@ -67,6 +68,9 @@
     /// Two exchanges and their trunk groups in virtual time: glare, lost signals, audits; exit code 1 if a circuit
     /// stays busy or a call ends twice.
     Trunks(trunks::Args),
+    /// A fleet that shares one budget, in virtual time: what is used of it, or many seeds of drawn faults; exit code 1 if
+    /// the sum over all fronts passes the bound.
+    Budgets(budgets::Args),
     /// One stand-in of a day as a process: what it plays comes on standard input.
     #[command(hide = true)]
     StandIn,
@@ -104,6 +108,7 @@
         Command::Day(args) => runtime()?.block_on(day::run(args)),
         Command::Audit { record } => day::audit(&record),
         Command::Trunks(args) => runtime()?.block_on(trunks::run(&args)),
+        Command::Budgets(args) => Ok(budgets::run(&args)),
         Command::StandIn => runtime()?.block_on(day::stand_in()),
         Command::Become { program, words } => {
             use std::os::unix::process::CommandExt;
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -6,6 +6,7 @@
 //! byte of the record.
 
 mod agenda;
+mod budgets;
 mod caller;
 mod far_end;
 mod front;
@@ -19,6 +20,7 @@
 mod way;
 mod world;
 
+pub use budgets::{drawn_troubles, share_budget, BudgetSpec, BudgetTally, Sharing, Trouble};
 pub use caller::{CallerInput, CallerOutput, CallerSpec, Callers};
 pub use far_end::{FarEnd, FarEndSpec, FarInput, FarOutput};
 pub use link::Fault;
