--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -61,6 +61,7 @@
     pub closed_callers: Vec<LinkId>,
     pub closed_servers: Vec<ConnId>,
     pub asked: Vec<Vec<u8>>,
+    pub to_peers: Vec<(u32, Vec<u8>)>,
     pub deaf: bool,
     pub ended: bool,
 }
@@ -79,6 +80,7 @@
             closed_callers: Vec::new(),
             closed_servers: Vec::new(),
             asked: Vec::new(),
+            to_peers: Vec::new(),
             deaf: false,
             ended: false,
         };
@@ -111,7 +113,7 @@
                     self.closed_servers.push(conn);
                 }
                 Output::Ask(query) => self.asked.push(query),
-                Output::ToPeer(..) => {}
+                Output::ToPeer(to, payload) => self.to_peers.push((to, payload)),
                 Output::Deaf => self.deaf = true,
                 Output::End => self.ended = true,
             }
