--- a/crates/audit/tests/sums.rs
+++ b/crates/audit/tests/sums.rs
@@ -109,3 +109,24 @@
     assert!(sums(&day(3..5), &bound).passed.is_empty());
     assert_eq!(sums(&day(3..6), &bound).passed.len(), 1);
 }
+
+#[test]
+fn set_ups_at_a_cold_server_count_from_when_they_entered_the_net_and_once() {
+    let start = (0, Moment::Start { server: 0, cold: true });
+    let sent = |at: u64, name: u64| {
+        let (call, attempt) = (Some(format!("c|{name}")), format!("a{name}"));
+        (at, Moment::Sent { server: 0, front: 0, call, attempt })
+    };
+    // Five in a second, over two fronts or one; and five sent over five seconds that a frozen server reads at once.
+    let at_once: Vec<_> = [vec![start.clone()], (0..5).map(|n| set_up(100 + n * 200, 0)).collect()].concat();
+    let read_late = [
+        vec![start],
+        (0..5).map(|n| sent(100 + n * 1_000, 4_200 + n)).collect(),
+        (0..5).map(|n| set_up(4_200 + n, 0)).collect(),
+    ];
+    let bound = SumTerms { cold_rate: Some(4.0), ..terms() };
+    let judged = |moments: Vec<(u64, Moment)>| sums(&record(moments), &bound);
+    let (over, within) = (judged(at_once), judged(read_late.concat()));
+    assert_eq!((over.cold_most, over.passed.len()), (5, 1), "{:?}", over.passed);
+    assert_eq!((within.cold_most, within.passed.len()), (1, 0), "{:?}", within.passed);
+}
