--- a/crates/day/src/cast.rs
+++ b/crates/day/src/cast.rs
@@ -130,7 +130,9 @@
     }
     let _ = writeln!(text, "pool listen=\"{}\" token=\"{TOKEN}\"", places.pool);
     if fleet {
-        let _ = writeln!(text, "fleet bind=\"{}\" lends=#{} {{", places.fleet, day.servers.lends);
+        // Said only where it is so: an older build reads the same configuration (--fronts-by).
+        let lends = if day.servers.lends { " lends=#true" } else { "" };
+        let _ = writeln!(text, "fleet bind=\"{}\"{lends} {{", places.fleet);
         for (other, addr) in &places.others {
             let _ = writeln!(text, "    front ordinal={other} addr=\"{addr}\"");
         }
