A front without a first list presumes cold servers for a second at most

Cause: it has a pool and no list service that pushes at the start, so that's presumption lasted a whole ramp; every deployment whose list service pushes changes alone would have paid that. A second after the start what nobody told of is taken as configured again.

--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -25,6 +25,9 @@
 const LAST_ANSWER: Micros = 10_000;
 /// Set-ups of one call that the guard holds back before the engine ends it.
 const HELD_BACK_MAX: u8 = 16;
+/// A list service that pushes to fronts that start does so within this. Guards against one that pushes changes alone: its
+/// fronts would ramp warm servers for a whole ramp (`baydrift demo`: service 0.38).
+const FIRST_LIST: Micros = 1_000_000;
 /// Orphans released at once to a server, and the pause until the next so many.
 const ORPHAN_BATCH: (usize, Micros) = (16, 50_000);
 
@@ -250,6 +253,7 @@
         self.now = self.now.max(now);
         let changed = self.pool.presume(self.now);
         self.tell_list(changed);
+        self.timers.set(self.now.saturating_add(FIRST_LIST), Timer::FirstList);
     }
 
     /// Takes one input, at a time that never goes back, then lets time pass; appends what is to be done.
@@ -1053,6 +1057,10 @@
                     }
                 }
                 Timer::Deadline(id) => self.deadline(id, out),
+                Timer::FirstList => {
+                    let changed = self.pool.presume_no_more();
+                    self.tell_list(changed);
+                }
                 Timer::Budgets => self.beat(out),
                 Timer::Sure(id) => self.sure(id, out),
                 Timer::Release(id) => self.release_unanswered(id),
--- a/crates/call/src/pool.rs
+++ b/crates/call/src/pool.rs
@@ -151,6 +151,13 @@
         changed.collect()
     }
 
+    /// No list came in time: what was presumed is so no more. The entries that changed.
+    pub fn presume_no_more(&mut self) -> Vec<Entry> {
+        let ids: Vec<_> = self.servers.keys().copied().collect();
+        let changed = ids.into_iter().filter_map(|id| self.change(id, |known| known.presumed = None));
+        changed.collect()
+    }
+
     /// A server said that it drains. The changed entry, if that is news.
     pub fn drains(&mut self, now: Micros, server: ServerId) -> Option<Entry> {
         self.change(server, |known| {
--- a/crates/call/src/timers.rs
+++ b/crates/call/src/timers.rs
@@ -23,6 +23,8 @@
     Away(CallId),
     /// More orphans may be released.
     Orphans,
+    /// The first list should have come.
+    FirstList,
     /// Budgets that the fleet shares.
     Budgets,
 }
