--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -1057,6 +1057,8 @@
                     }
                 }
                 Timer::Deadline(id) => self.deadline(id, out),
+                // One that was set before the process was told its start is too early.
+                Timer::FirstList if self.now < self.started.unwrap_or(0).saturating_add(FIRST_LIST) => {}
                 Timer::FirstList => {
                     let changed = self.pool.presume_no_more();
                     self.tell_list(changed);
