Read once more: one copy of what stood twice, and what a process presumes ends in one place

Need: reading the whole change again. At the wrong depth: the presumption's timer had an arm for a start told later; the pool itself now drops what was presumed for long, and the engine presumes anew at its start, so that the desk keeps no flag for it. Two public types were called Sharing and two Trouble; the model's are BudgetSharing and BudgetTrouble.

No assertion was changed.

--- a/crates/audit/src/sums.rs
+++ b/crates/audit/src/sums.rs
@@ -109,11 +109,18 @@
     open: usize,
     opened: Window,
     set_ups: Window,
-    cold: Window,
+    in_fall_time: Window,
     cold_since: Option<u64>,
     cold_second: Window,
 }
 
+impl Server {
+    /// Since when it is cold, if it is at this time.
+    fn cold(&self, at: u64, ramp: u64) -> Option<u64> {
+        self.cold_since.filter(|since| at < since + ramp)
+    }
+}
+
 /// First tries of one second: offered, and stood for good.
 #[derive(Debug, Clone, Copy, Default)]
 struct Second {
@@ -129,8 +136,19 @@
     let (mut firsts, mut set_ups) = (0_usize, 0_usize);
     let (mut sent, mut at_cold, mut cold_for) = (BTreeSet::new(), 0_usize, 0_u64);
     let last = lines.last().map_or(0, |line| line.at);
+    let ramp = |number: u16| terms.servers.get(usize::from(number)).map_or(0, |can| can.ramp);
     for line in lines {
         let at = line.at;
+        // What a way held is counted as it entered it: that was when it was decided.
+        if let Moment::Sent { server: number, call: Some(_), attempt, .. }
+        | Moment::Entered { server: number, attempt }
+        | Moment::SetUp { server: number, attempt, .. } = &line.moment
+        {
+            let server = servers.entry(*number).or_default();
+            if server.cold(at, ramp(*number)).is_some() && sent.insert(attempt.as_str()) {
+                seen.cold_most = seen.cold_most.max(server.cold_second.count(at, SECOND));
+            }
+        }
         match &line.moment {
             Moment::Offer { first: None, .. } => firsts += 1,
             Moment::Linked { server, .. } => {
@@ -147,35 +165,21 @@
                 let each = words.count(at, SECOND) as f64 / f64::from(terms.fronts.max(1));
                 seen.words = seen.words.max(each);
             }
-            Moment::Start { server, cold } => {
-                let server = servers.entry(*server).or_default();
-                (server.cold_since, server.cold) = (cold.then_some(at), Window::default());
-                let ramp = terms.servers.first().map_or(0, |can| can.ramp);
-                cold_for += if *cold { ramp.min(last - at) } else { 0 };
-            }
-            // What a way held is counted as it entered it: that was when it was decided.
-            Moment::Sent { server, call: Some(_), attempt, .. } | Moment::Entered { server, attempt } => {
-                let ramp = terms.servers.first().map_or(0, |can| can.ramp);
-                let server = servers.entry(*server).or_default();
-                if server.cold_since.is_some_and(|since| at < since + ramp) && sent.insert(attempt.as_str()) {
-                    seen.cold_most = seen.cold_most.max(server.cold_second.count(at, SECOND));
-                }
+            Moment::Start { server: number, cold } => {
+                let server = servers.entry(*number).or_default();
+                (server.cold_since, server.in_fall_time) = (cold.then_some(at), Window::default());
+                cold_for += if *cold { ramp(*number).min(last - at) } else { 0 };
             }
-            Moment::SetUp { server: number, attempt, .. } => {
+            Moment::SetUp { server: number, .. } => {
                 set_ups += 1;
                 let Some(can) = terms.servers.get(usize::from(*number)) else { continue };
                 let server = servers.entry(*number).or_default();
-                if server.cold_since.is_some_and(|since| at < since + can.ramp) {
-                    at_cold += 1;
-                    if sent.insert(attempt.as_str()) {
-                        seen.cold_most = seen.cold_most.max(server.cold_second.count(at, SECOND));
-                    }
-                }
                 let over = server.set_ups.count(at, SECOND) as f64 / can.rate.max(1e-9);
                 seen.overshoot = seen.overshoot.max(over);
-                let Some(since) = server.cold_since.filter(|since| at < since + can.ramp) else { continue };
-                let count = server.cold.count(at, can.fall_time) as f64;
-                let begin = server.cold.at.front().map_or(0, |first| first.saturating_sub(since));
+                let Some(since) = server.cold(at, can.ramp) else { continue };
+                at_cold += 1;
+                let count = server.in_fall_time.count(at, can.fall_time) as f64;
+                let begin = server.in_fall_time.at.front().map_or(0, |first| first.saturating_sub(since));
                 let warmth = can.cold_from + (1.0 - can.cold_from) * begin as f64 / can.ramp.max(1) as f64;
                 let limit = can.rate * warmth * can.fall_multiple * can.fall_time as f64 / SECOND as f64;
                 seen.cold = seen.cold.max(count / limit.max(1e-9));
--- a/crates/budget/src/escrow.rs
+++ b/crates/budget/src/escrow.rs
@@ -21,6 +21,13 @@
     pub drift_ppm: u32,
 }
 
+impl Default for Terms {
+    /// A rate a second, on the system's monotonic clock of a process that wakes every 50 ms.
+    fn default() -> Self {
+        Self { window: 1_000_000, lease: 4_000_000, step_most: 100_000, drift_ppm: 200 }
+    }
+}
+
 /// Why terms are turned down.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum TermsError {
@@ -124,6 +131,11 @@
     }
 }
 
+/// How many of these units, soonest free first, are free by then.
+fn free_of(units: &[Micros], sure: Micros) -> u32 {
+    units.partition_point(|free| *free <= sure) as u32
+}
+
 /// One front's hand in a budget; see the crate's page for what it promises.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Escrow {
@@ -299,32 +311,34 @@
         if self.lent.contains_key(&ask) {
             return None;
         }
-        let sure = self.steps.sure();
-        let free = self.own.iter().take_while(|free| **free <= sure).count() as u32;
         let lent: usize = self.lent.values().map(|loan| usize::from(loan.units)).sum();
         let lendable = self.lendable.saturating_sub(lent) as u32;
-        let units = free.saturating_sub(reserve).min(lendable).min(u32::from(wanted)) as u16;
+        let units = self.own_free().saturating_sub(reserve).min(lendable).min(u32::from(wanted)) as u16;
         if units == 0 {
             return None;
         }
         self.own.drain(..usize::from(units));
-        let over = sure + self.terms.lent_for();
+        let over = self.steps.sure() + self.terms.lent_for();
         self.lent.insert(ask, Lent { units, over });
         self.granted.insert(ask.front, ask);
         Some(Word::Grant { budget, ask, units })
     }
 
     fn prolong(&mut self, ask: Ask, number: u32, reserve: u32) -> Option<Word> {
-        let sure = self.steps.sure();
-        let here = self.own.iter().take_while(|free| **free <= sure).count() as u32;
-        if here < reserve {
+        if self.own_free() < reserve {
             return None;
         }
+        let over = self.steps.sure() + self.terms.lent_for();
         let loan = self.lent.get_mut(&Ask { number, ..ask })?;
-        loan.over = loan.over.max(sure + self.terms.lent_for());
+        loan.over = loan.over.max(over);
         Some(Word::Grant { budget: self.budget, ask, units: loan.units })
     }
 
+    /// Own units that can be spent now.
+    fn own_free(&self) -> u32 {
+        free_of(&self.own, self.steps.sure())
+    }
+
     /// A loan is back, or over; its units can be spent again after `busy`.
     fn reclaim(&mut self, ask: &Ask, busy: Micros) {
         let Some(loan) = self.lent.remove(ask) else { return };
@@ -359,14 +373,13 @@
     /// What it has now.
     pub fn holdings(&self) -> Holdings {
         let sure = self.steps.sure();
-        let free = |units: &[Micros]| units.iter().filter(|free| **free <= sure).count() as u32;
-        let own = free(&self.own);
+        let own = self.own_free();
         let soon = sure + self.terms.spent_for();
         let barred = self.own.iter().filter(|free| **free > soon).count() as u32;
         let (mut here, mut here_free) = (0, 0);
         for loan in self.borrowed.values() {
             here += loan.units.len() as u32;
-            here_free += free(&loan.units);
+            here_free += free_of(&loan.units, sure);
         }
         Holdings {
             free: own,
--- a/crates/budget/src/seek.rs
+++ b/crates/budget/src/seek.rs
@@ -15,6 +15,13 @@
     pub at_once: usize,
 }
 
+impl Default for Seeking {
+    /// For budgets of a second.
+    fn default() -> Self {
+        Self { every: 100_000, at_once: 3 }
+    }
+}
+
 /// Windows. Lag of what a front wants in one.
 const DEMAND_LAG: f64 = 2.0;
 /// A loan is given back where the front wants so much less than what it would have without it. One want alone keeps a
@@ -83,7 +90,8 @@
         }
     }
 
-    /// What to say now, and to whom; called at each of the process's wake-ups, which come more often than the longest step; `lives` is whether a front is believed to.
+    /// What to say now, and to whom; called at each of the process's wake-ups, which come more often than the longest
+    /// step. `lives` is whether a front is believed to.
     pub fn words(
         &mut self,
         now: Micros,
--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -13,7 +13,7 @@
 use crate::held::{Attempt, Held, Phase, Stage, WAITING_MAX};
 use crate::memory::Memory;
 use crate::orphans::{Orphan, Orphans};
-use crate::pool::Pool;
+use crate::pool::{Pool, PRESUMED_FOR};
 use crate::shared::{Beat, Shared, Sharing, BEAT};
 use crate::timers::{Timer, Timers};
 use crate::types::{
@@ -25,9 +25,6 @@
 const LAST_ANSWER: Micros = 10_000;
 /// Set-ups of one call that the guard holds back before the engine ends it.
 const HELD_BACK_MAX: u8 = 16;
-/// A list service that pushes to fronts that start does so within this. Guards against one that pushes changes alone: its
-/// fronts would ramp warm servers for a whole ramp (`baydrift demo`: service 0.38).
-const FIRST_LIST: Micros = 1_000_000;
 /// Orphans released at once to a server, and the pause until the next so many.
 const ORPHAN_BATCH: (usize, Micros) = (16, 50_000);
 
@@ -227,6 +224,9 @@
     /// The process starts now, by a clock that did not start with it. Otherwise its first input is its start.
     pub fn starts(&mut self, now: Micros) {
         self.started = Some(now);
+        if self.pool.presumes() {
+            self.awaits_list(now);
+        }
     }
 
     /// The fleet shares what cold servers are sent. A front that stands alone, or whose settings say nothing of it, does not.
@@ -248,12 +248,17 @@
         self.waited = span;
     }
 
+    /// How long what is heard now may have waited to be read.
+    pub fn waited(&self) -> Micros {
+        self.waited
+    }
+
     /// A list that tells of starts will be pushed to this process: until it comes, any server may have just started.
     pub fn awaits_list(&mut self, now: Micros) {
         self.now = self.now.max(now);
         let changed = self.pool.presume(self.now);
         self.tell_list(changed);
-        self.timers.set(self.now.saturating_add(FIRST_LIST), Timer::FirstList);
+        self.timers.set(self.now.saturating_add(PRESUMED_FOR), Timer::FirstList);
     }
 
     /// Takes one input, at a time that never goes back, then lets time pass; appends what is to be done.
@@ -1057,10 +1062,8 @@
                     }
                 }
                 Timer::Deadline(id) => self.deadline(id, out),
-                // One that was set before the process was told its start is too early.
-                Timer::FirstList if self.now < self.started.unwrap_or(0).saturating_add(FIRST_LIST) => {}
                 Timer::FirstList => {
-                    let changed = self.pool.presume_no_more();
+                    let changed = self.pool.presume_no_more(self.now);
                     self.tell_list(changed);
                 }
                 Timer::Budgets => self.beat(out),
--- a/crates/call/src/pool.rs
+++ b/crates/call/src/pool.rs
@@ -65,6 +65,11 @@
         self.started_at.or(self.presumed)
     }
 
+    /// Whether its processor ramps as somebody told, not as must be presumed.
+    fn is_told_cold(&self, now: Micros, ramp: Micros) -> bool {
+        is_cold(self.started_at, now, ramp)
+    }
+
     fn settle(&mut self, now: Micros) {
         if self.state() == ServerState::Ready {
             self.left_at = None;
@@ -74,6 +79,15 @@
     }
 }
 
+/// Whether a process that started then, if it is known when, still ramps.
+fn is_cold(started_at: Option<Micros>, now: Micros, ramp: Micros) -> bool {
+    started_at.is_some_and(|at| now.saturating_sub(at) < ramp)
+}
+
+/// What nobody told of is presumed no longer than this. A list service that pushes to fronts that start does so within
+/// it. Guards against one that pushes changes alone: its fronts would ramp warm servers for a whole ramp
+/// (`baydrift demo`: service 0.38).
+pub(crate) const PRESUMED_FOR: Micros = 1_000_000;
 /// A start that the list tells is another one where it is later by this than the one known: its age is of when it was
 /// pushed, and pushed lists are not older than this but for ways that hold them.
 const LATE: Micros = 1_000_000;
@@ -146,16 +160,19 @@
     /// front was down: with the servers of the configuration taken for warm, the calls that had waited for the front
     /// went there at once (`days/fleet.kdl --virtual --drawn --fleet`, seed 2741).
     pub fn presume(&mut self, now: Micros) -> Vec<Entry> {
-        let ids: Vec<_> = self.servers.keys().copied().collect();
-        let changed = ids.into_iter().filter_map(|id| self.change(id, |known| known.presumed = Some(now)));
-        changed.collect()
+        self.change_all(|known| known.presumed = Some(now))
     }
 
-    /// No list came in time: what was presumed is so no more. The entries that changed.
-    pub fn presume_no_more(&mut self) -> Vec<Entry> {
-        let ids: Vec<_> = self.servers.keys().copied().collect();
-        let changed = ids.into_iter().filter_map(|id| self.change(id, |known| known.presumed = None));
-        changed.collect()
+    /// What was presumed for long, and no list told of, is so no more. The entries that changed.
+    pub fn presume_no_more(&mut self, now: Micros) -> Vec<Entry> {
+        self.change_all(|known| {
+            known.presumed = known.presumed.filter(|at| now < at.saturating_add(PRESUMED_FOR));
+        })
+    }
+
+    /// Whether a start is presumed of any server.
+    pub fn presumes(&self) -> bool {
+        self.servers.values().any(|known| known.presumed.is_some())
     }
 
     /// A server said that it drains. The changed entry, if that is news.
@@ -178,7 +195,7 @@
             if process != Process::Same || long {
                 known.left_itself = false;
             }
-            let told = known.started_at.is_some_and(|at| now.saturating_sub(at) < self.ramp);
+            let told = known.is_told_cold(now, self.ramp);
             let another = match process {
                 // The list may have told of this start before the link did; once the link has seen it, this is another.
                 // Guards against a server that starts twice within a ramp: taken for warm when the first one's was over,
@@ -205,6 +222,12 @@
         Some(known.entry(link)).filter(|entry| *entry != before)
     }
 
+    /// Changes what is known of all servers; the entries that the module is to hear of.
+    fn change_all(&mut self, how: impl Fn(&mut Known)) -> Vec<Entry> {
+        let ids: Vec<_> = self.servers.keys().copied().collect();
+        ids.into_iter().filter_map(|id| self.change(id, &how)).collect()
+    }
+
     /// The link's state; down while nothing was heard of it.
     pub fn link_state(&self, server: ServerId) -> LinkState {
         self.links.get(&server).copied().unwrap_or(LinkState::Down)
@@ -223,20 +246,18 @@
 
     /// Whether its processor ramps.
     pub fn is_cold(&self, now: Micros, server: ServerId) -> bool {
-        let started = self.servers.get(&server).and_then(Known::start);
-        started.is_some_and(|at| now.saturating_sub(at) < self.ramp)
+        is_cold(self.servers.get(&server).and_then(Known::start), now, self.ramp)
     }
 
     /// Whether its processor ramps as somebody told, not as must be presumed.
     pub fn is_told_cold(&self, now: Micros, server: ServerId) -> bool {
-        let started = self.servers.get(&server).and_then(|known| known.started_at);
-        started.is_some_and(|at| now.saturating_sub(at) < self.ramp)
+        self.servers.get(&server).is_some_and(|known| known.is_told_cold(now, self.ramp))
     }
 
     /// All servers, each with whether it is ready and whether it is told to be cold.
     pub fn temperatures(&self, now: Micros) -> Vec<(ServerId, bool, bool)> {
         let of = |(id, known): (&ServerId, &Known)| {
-            (*id, known.state() == ServerState::Ready, self.is_told_cold(now, *id))
+            (*id, known.state() == ServerState::Ready, known.is_told_cold(now, self.ramp))
         };
         self.servers.iter().map(of).collect()
     }
--- a/crates/call/src/shared.rs
+++ b/crates/call/src/shared.rs
@@ -7,10 +7,8 @@
 
 /// First byte of a message between fronts that is of budgets; the module's own begin otherwise.
 const BUDGETS: u8 = 0xb0;
-/// A budget is for so long; so many set-ups a second are one in each second.
+/// The window of the budgets' usual terms: so many set-ups a second are so many units.
 const WINDOW: Micros = 1_000_000;
-const TERMS: Terms = Terms { window: WINDOW, lease: 4 * WINDOW, step_most: WINDOW / 10, drift_ppm: 200 };
-const SEEKING: Seeking = Seeking { every: WINDOW / 10, at_once: 3 };
 /// The engine wakes so often for it, which is within the longest step.
 pub(crate) const BEAT: Micros = 50_000;
 
@@ -87,8 +85,8 @@
             let budget = BudgetId(server);
             let share = Share::new(budget, units, fronts);
             // Whatever its process before this one did of it is over before this one does.
-            let escrow = Escrow::new(TERMS, budget, share, ordinal, incarnation, now, false);
-            Hand { escrow, seeker: Seeker::new(SEEKING, share, ordinal), told: None }
+            let escrow = Escrow::new(Terms::default(), budget, share, ordinal, incarnation, now, false);
+            Hand { escrow, seeker: Seeker::new(Seeking::default(), share, ordinal), told: None }
         })
     }
 
--- a/crates/cli/src/budgets.rs
+++ b/crates/cli/src/budgets.rs
@@ -1,11 +1,14 @@
 //! `baydrift budgets`: fleets that share a budget, in virtual time.
 
 use std::process::ExitCode;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 
 use baydrift_budget::{Seeking, Terms};
-use baydrift_emulator::{drawn_troubles, share_budget, BudgetSpec, BudgetTally, Sharing, Trouble, WaySpec};
+use baydrift_emulator::{
+    drawn_troubles, share_budget, BudgetSharing, BudgetSpec, BudgetTally, BudgetTrouble, WaySpec,
+};
+
+use crate::seeds::on_all_cores;
 
 const S: u64 = 1_000_000;
 
@@ -33,7 +36,7 @@
     #[arg(long, default_value_t = 0.05)]
     lost: f64,
     /// A loan lasts so many milliseconds.
-    #[arg(long, default_value_t = 4_000, value_parser = clap::value_parser!(u64).range(200..=60_000))]
+    #[arg(long, default_value_t = 4_000, value_parser = clap::value_parser!(u64).range(1..=60_000))]
     lease_ms: u64,
     /// The first seed.
     #[arg(long, default_value_t = 1)]
@@ -43,7 +46,11 @@
     seeds: Option<u64>,
 }
 
-fn spec(args: &Args, seed: u64, sharing: Sharing) -> BudgetSpec {
+fn terms(args: &Args) -> Terms {
+    Terms { lease: args.lease_ms * 1_000, ..Terms::default() }
+}
+
+fn spec(args: &Args, seed: u64, sharing: BudgetSharing) -> BudgetSpec {
     let busy = ((f64::from(args.fronts) * args.busy).round() as u32).clamp(1, args.fronts - 1);
     let all = args.wanted * f64::from(args.units);
     // Busy ones first by place, and places are mixed with what is down by a step that shares no factor with most fleets.
@@ -57,12 +64,11 @@
     };
     let down = (f64::from(args.fronts) * args.down) as u32;
     let dead = (0..args.fronts).filter(|front| front * 11 % args.fronts < down);
-    let terms = Terms { window: S, lease: args.lease_ms * 1_000, step_most: S / 10, drift_ppm: 200 };
     BudgetSpec {
         fronts: args.fronts,
         units: args.units,
-        terms,
-        seeking: Seeking { every: S / 10, at_once: 3 },
+        terms: terms(args),
+        seeking: Seeking::default(),
         way: WaySpec {
             delay: 2_000,
             jitter: 3_000,
@@ -75,7 +81,7 @@
         wanted: (0..args.fronts).map(wanted).collect(),
         span: args.seconds * S,
         heard_within: S / 2,
-        troubles: dead.map(|front| (0, front, Trouble::Dies(None))).collect(),
+        troubles: dead.map(|front| (0, front, BudgetTrouble::Dies(None))).collect(),
         drift_ppm: 100,
         seed,
     }
@@ -93,7 +99,11 @@
     );
 }
 
-pub fn run(args: &Args) -> ExitCode {
+pub fn run(args: &Args) -> miette::Result<ExitCode> {
+    if let Err(error) = terms(args).check() {
+        eprintln!("baydrift budgets: {error}");
+        return Ok(ExitCode::from(2));
+    }
     match args.seeds {
         Some(seeds) => many(args, seeds),
         None => {
@@ -107,55 +117,51 @@
                 args.seconds
             );
             let ways = [
-                ("fixed shares", Sharing::Fixed),
-                ("by the number believed", Sharing::Believed),
-                ("units lent", Sharing::Escrow),
-                ("one that knows all", Sharing::KnowsAll),
+                ("fixed shares", BudgetSharing::Fixed),
+                ("by the number believed", BudgetSharing::Believed),
+                ("units lent", BudgetSharing::Escrow),
+                ("one that knows all", BudgetSharing::KnowsAll),
             ];
             let mut over = false;
             for (name, sharing) in ways {
                 let tally = share_budget(&spec(args, args.seed, sharing));
                 line(name, args, &tally);
-                over |= sharing == Sharing::Escrow && tally.most > args.units as usize;
-            }
-            if over {
-                ExitCode::FAILURE
-            } else {
-                ExitCode::SUCCESS
+                over |= sharing == BudgetSharing::Escrow && tally.most > args.units as usize;
             }
+            Ok(if over { ExitCode::FAILURE } else { ExitCode::SUCCESS })
         }
     }
 }
 
+/// What drawn faults came to.
+#[derive(Default)]
+struct Sum {
+    over: u64,
+    spent: u64,
+    used: f64,
+    most: usize,
+}
+
 /// Drawn faults, on all cores.
-fn many(args: &Args, seeds: u64) -> ExitCode {
-    let next = AtomicU64::new(args.seed);
-    let sum = Mutex::new((0_u64, 0_u64, 0.0_f64, 0_usize));
+fn many(args: &Args, seeds: u64) -> miette::Result<ExitCode> {
+    let sum = Mutex::new(Sum::default());
     let began = std::time::Instant::now();
-    let threads = std::thread::available_parallelism().map_or(1, usize::from);
-    std::thread::scope(|scope| {
-        for _ in 0..threads {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed >= args.seed + seeds {
-                    return;
-                }
-                let mut spec = spec(args, seed, Sharing::Escrow);
-                spec.troubles = drawn_troubles(args.fronts, spec.span, spec.terms.lease, seed);
-                let tally = share_budget(&spec);
-                let over = tally.most > args.units as usize;
-                let mut sum = sum.lock().unwrap_or_else(PoisonError::into_inner);
-                sum.0 += u64::from(over);
-                sum.1 += tally.spent;
-                sum.2 += tally.used;
-                sum.3 = sum.3.max(tally.most);
-                if over {
-                    println!("  seed {seed}: {} units in a window, of {}", tally.most, args.units);
-                }
-            });
+    let threads = on_all_cores(args.seed, seeds, |seed| {
+        let mut spec = spec(args, seed, BudgetSharing::Escrow);
+        spec.troubles = drawn_troubles(args.fronts, spec.span, spec.terms.lease, seed);
+        let tally = share_budget(&spec);
+        let over = tally.most > args.units as usize;
+        let mut sum = sum.lock().unwrap_or_else(PoisonError::into_inner);
+        sum.over += u64::from(over);
+        sum.spent += tally.spent;
+        sum.used += tally.used;
+        sum.most = sum.most.max(tally.most);
+        if over {
+            println!("  seed {seed}: {} units in a window, of {}", tally.most, args.units);
         }
-    });
-    let (over, spent, used, most) = *sum.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(())
+    })?;
+    let Sum { over, spent, used, most } = sum.into_inner().unwrap_or_else(PoisonError::into_inner);
     println!(
         "{seeds} seeds of {} fronts and {} units, {} s each with drawn faults: {over} over the bound, {most} at most; {spent} spent, {:.3} used on the mean; {:.0} s on {threads} threads",
         args.fronts,
@@ -164,9 +170,5 @@
         used / seeds.max(1) as f64,
         began.elapsed().as_secs_f64()
     );
-    if over == 0 && spent > 0 {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    }
+    Ok(if over == 0 && spent > 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 
 use baydrift_audit::{read_record, rules, write_record, Terms};
@@ -11,6 +10,8 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use miette::{IntoDiagnostic, WrapErr};
 
+use crate::seeds::on_all_cores;
+
 #[derive(clap::Args)]
 pub struct Args {
     /// The script.
@@ -170,36 +171,22 @@
     if let Ok(style) = ProgressStyle::with_template("{elapsed} [{bar:30}] {pos}/{len} seeds, {eta} left") {
         bar.set_style(style);
     }
-    let next = AtomicU64::new(day.seed);
-    let end = day.seed + args.seeds;
     let sum = Mutex::new(Net::default());
-    let threads = std::thread::available_parallelism().map_or(1, usize::from);
     let began = std::time::Instant::now();
-    let failed = std::thread::scope(|scope| {
-        let work = || -> miette::Result<()> {
-            loop {
-                let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed >= end {
-                    return Ok(());
-                }
-                let day = of_seed(args, day, seed);
-                let outcome = baydrift_day::run_virtual(&day, |_, _| {}).into_diagnostic()?;
-                let mut sum = sum.lock().unwrap_or_else(PoisonError::into_inner);
-                sum.add(&outcome);
-                if !outcome.good() {
-                    keep(args, &day, &outcome)?;
-                    print!("{}", baydrift_day::table(&outcome.verdict, &outcome.service));
-                }
-                bar.inc(1);
-            }
-        };
-        let all: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
-        all.into_iter().find_map(|thread| thread.join().ok()?.err())
+    let threads = on_all_cores(day.seed, args.seeds, |seed| {
+        let day = of_seed(args, day, seed);
+        let outcome = baydrift_day::run_virtual(&day, |_, _| {}).into_diagnostic()?;
+        let mut sum = sum.lock().unwrap_or_else(PoisonError::into_inner);
+        sum.add(&outcome);
+        if !outcome.good() {
+            keep(args, &day, &outcome)?;
+            print!("{}", baydrift_day::table(&outcome.verdict, &outcome.service));
+        }
+        bar.inc(1);
+        Ok(())
     });
     bar.finish_and_clear();
-    if let Some(error) = failed {
-        return Err(error);
-    }
+    let threads = threads?;
     let sum = sum.into_inner().unwrap_or_else(PoisonError::into_inner);
     println!("{sum}, in {:.0} s on {threads} threads", began.elapsed().as_secs_f64());
     Ok(if sum.broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod front;
 mod node;
+mod seeds;
 mod trunks;
 
 use std::path::PathBuf;
@@ -108,7 +109,7 @@
         Command::Day(args) => runtime()?.block_on(day::run(args)),
         Command::Audit { record } => day::audit(&record),
         Command::Trunks(args) => runtime()?.block_on(trunks::run(&args)),
-        Command::Budgets(args) => Ok(budgets::run(&args)),
+        Command::Budgets(args) => budgets::run(&args),
         Command::StandIn => runtime()?.block_on(day::stand_in()),
         Command::Become { program, words } => {
             use std::os::unix::process::CommandExt;
--- a/crates/day/src/course.rs
+++ b/crates/day/src/course.rs
@@ -42,6 +42,9 @@
     fn process(&mut self, _trouble: Process) {}
 }
 
+/// How long a front that crashes again and again serves each time.
+pub(crate) const SERVES_FOR: Micros = 400_000;
+
 /// Troubles of processes and of the net between them.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum Process {
--- a/crates/day/src/emulated.rs
+++ b/crates/day/src/emulated.rs
@@ -7,7 +7,7 @@
 use baydrift_front::{FrontError, Snapshot};
 
 use crate::cast::{callers, config_of, far_ends, host_of, linked, server_spec, sessions, texts, usual};
-use crate::course::{Course, Hands, Listed, Pool, Process};
+use crate::course::{Course, Hands, Listed, Pool, Process, SERVES_FOR};
 use crate::error::DayError;
 use crate::run::{aftermath, outcome, policy_of, Outcome};
 use crate::script::{Day, Party, Policy};
@@ -35,9 +35,6 @@
     }
 }
 
-/// A front that crashes again and again serves so long each time.
-const CRASH_EVERY: Micros = 400_000;
-
 impl Hands for Stage {
     fn command(&mut self, server: usize, command: Command) {
         self.world.command(server, command);
@@ -101,7 +98,7 @@
             Process::Stop { front, back_after, .. } => self.world.kill(front, back_after),
             Process::Crash { front, times } => {
                 self.crashes
-                    .extend((0..times).map(|n| (self.world.now() + u64::from(n) * CRASH_EVERY, front)));
+                    .extend((0..times).map(|n| (self.world.now() + u64::from(n) * SERVES_FOR, front)));
                 self.crashes.sort_unstable();
             }
             // It reads nothing either on processes; here it answers nothing.
--- a/crates/day/src/processes/stage.rs
+++ b/crates/day/src/processes/stage.rs
@@ -19,13 +19,10 @@
 use super::role::{Hello, Order, Role, Word};
 use super::{Cast, ENDS_WITHIN, STARTS_WITHIN};
 use crate::cast::Places;
-use crate::course::{Hands, Pool, Process};
+use crate::course::{Hands, Pool, Process, SERVES_FOR};
 use crate::error::DayError;
 use crate::script::Party;
 
-/// How long a front that crashes again and again serves each time.
-const SERVES_FOR: Duration = Duration::from_millis(400);
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -246,16 +243,16 @@
         let opened: u64 = self.streams.iter().flatten().chain(&self.lists).map(Streams::opened).sum();
         let datagrams: u64 = self.pairs.iter().map(|(.., relay)| relay.carried()).sum();
         let crossed = format!("{opened} connections and {datagrams} datagrams crossed the net");
-        let mean = |all: &mut dyn Iterator<Item = f64>| all.sum::<f64>() / used.len().max(1) as f64;
-        let most = |all: &mut dyn Iterator<Item = f64>| all.fold(0.0, f64::max);
-        let (cores, memory) = (|| used.iter().map(|used| used.0), || used.iter().map(|used| used.1));
+        let (cores, memory): (Vec<f64>, Vec<f64>) = used.into_iter().unzip();
+        let mean = |all: &[f64]| all.iter().sum::<f64>() / all.len().max(1) as f64;
+        let most = |all: &[f64]| all.iter().copied().fold(0.0, f64::max);
         let used = format!(
             "a front used {:.4} of a core on the mean and {:.4} at most, {:.1} and {:.1} MB; {} still ran",
-            mean(&mut cores()),
-            most(&mut cores()),
-            mean(&mut memory()),
-            most(&mut memory()),
-            used.len()
+            mean(&cores),
+            most(&cores),
+            mean(&memory),
+            most(&memory),
+            cores.len()
         );
         (vec![crossed, used], faults)
     }
@@ -285,7 +282,7 @@
                 let Some(child) = lock(&slot.now).take() else { return };
                 end_front(&cast, &slot, child, true, &faults).await;
                 start_front(&cast, &slot, &faults).await;
-                tokio::time::sleep(SERVES_FOR).await;
+                tokio::time::sleep(Duration::from_micros(SERVES_FOR)).await;
             }
         });
     }
--- a/crates/desk/src/commands.rs
+++ b/crates/desk/src/commands.rs
@@ -398,7 +398,7 @@
         let facts = self.table.facts(&message, &ccr)?;
         let session = Session { owner: client.mid.clone(), id: Arc::from(session) };
         let span = debug_span!("call", session = &*session.id);
-        let patience = facts.gives_up.saturating_sub(self.waited);
+        let patience = facts.gives_up.saturating_sub(self.waited());
         let reserve = if client.exchange.is_reliable() { 0 } else { RESERVE.min(facts.gives_up / 4) };
         self.next_ticket += 1;
         let offer = Offer {
--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -260,8 +260,6 @@
     pub(crate) text: Text,
     trunk: TrunkSide,
     roster: Roster,
-    /// Lists are pushed to it.
-    pushed: bool,
     /// Origin-Host and Origin-Realm of this front.
     origin: [Avp; 2],
     /// Service-Context-Id of each class.
@@ -276,8 +274,6 @@
     state_ids: BTreeMap<String, u32>,
     outputs: Vec<Output<Payload>>,
     pub(crate) faults: u64,
-    /// How long what is heard now may have waited to be read.
-    pub(crate) waited: Micros,
 }
 
 impl Desk {
@@ -325,7 +321,6 @@
             table: Table::new(config),
             text: Text::new(config, u64::from(boot)),
             roster: Roster::new(config),
-            pushed: config.pool.is_some(),
             origin: [
                 Avp::text(dict::ORIGIN_HOST, &config.host),
                 Avp::text(dict::ORIGIN_REALM, &config.realm),
@@ -354,7 +349,6 @@
             state_ids: BTreeMap::new(),
             outputs: Vec::new(),
             faults: 0,
-            waited: 0,
         }
     }
 
@@ -411,10 +405,13 @@
     /// What is heard from now on may have waited so long to be read, since this process stood still: its callers'
     /// patience has run meanwhile.
     pub fn set_waited(&mut self, span: Micros) {
-        self.waited = span;
         self.engine.set_waited(span);
     }
 
+    pub(crate) fn waited(&self) -> Micros {
+        self.engine.waited()
+    }
+
     /// Takes a pushed pool list.
     ///
     /// # Errors
@@ -441,9 +438,6 @@
     /// The process starts now, by a clock that did not start with it: virtual time's.
     pub fn starts(&mut self, now: Micros) {
         self.engine.starts(now);
-        if self.pushed {
-            self.engine.awaits_list(now);
-        }
     }
 
     /// How often the engine held back what would have broken a rule.
@@ -522,7 +516,7 @@
         let request = Request { link, ticket: self.next_ticket };
         self.next_ticket += 1;
         let message = Arc::new(message);
-        let waited = self.waited;
+        let waited = self.waited();
         let input = match read_request(&self.table, client, request, waited, &message) {
             Ok(input) => input,
             Err(fault) => {
@@ -653,7 +647,7 @@
             tenant: what.publisher,
             number: number_of(number),
             first_choice: None,
-            gives_up_in: class.1.saturating_sub(self.waited),
+            gives_up_in: class.1.saturating_sub(self.waited()),
             redial: None,
             was_cut: false,
             said: Said::Once,
--- a/crates/emulator/src/budgets.rs
+++ b/crates/emulator/src/budgets.rs
@@ -14,7 +14,7 @@
 
 /// How the budget is shared.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Sharing {
+pub enum BudgetSharing {
     /// Each front its part by the settings.
     Fixed,
     /// Each front a part by how many it believes alive: whoever it has heard of within a second.
@@ -27,7 +27,7 @@
 
 /// What happens to a front.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Trouble {
+pub enum BudgetTrouble {
     /// It ends, and another process starts after so long, if at all.
     Dies(Option<Micros>),
     /// It stands still for so long.
@@ -54,7 +54,7 @@
     /// Ways between fronts.
     pub way: WaySpec,
     /// How it is shared.
-    pub sharing: Sharing,
+    pub sharing: BudgetSharing,
     /// Units wanted a second, by front.
     pub wanted: Vec<f64>,
     /// For so long.
@@ -62,7 +62,7 @@
     /// The budget begins then: a server's cold start, which each front hears of up to so much later.
     pub heard_within: Micros,
     /// What happens, to which front, when.
-    pub troubles: Vec<(Micros, u32, Trouble)>,
+    pub troubles: Vec<(Micros, u32, BudgetTrouble)>,
     /// Clocks run apart by up to so many millionths.
     pub drift_ppm: u32,
     /// Draws all chance.
@@ -98,7 +98,7 @@
     Wants(u32, u32),
     Wakes(u32, u32),
     Arrives(u32, u32, Said),
-    Trouble(u32, Trouble),
+    Trouble(u32, BudgetTrouble),
     Starts(u32),
 }
 
@@ -267,11 +267,11 @@
         self.wants(front, process);
     }
 
-    fn trouble(&mut self, front: u32, trouble: Trouble) {
+    fn trouble(&mut self, front: u32, trouble: BudgetTrouble) {
         let now = self.queue.now();
         let Some(at) = self.fronts.get_mut(front as usize) else { return };
         match trouble {
-            Trouble::Dies(back) => {
+            BudgetTrouble::Dies(back) => {
                 if at.down {
                     return;
                 }
@@ -282,10 +282,10 @@
                     self.queue.at(now + back, Event::Starts(front));
                 }
             }
-            Trouble::Stops(span) => at.stopped_until = at.stopped_until.max(now + span),
-            Trouble::Jumps(by) => at.ahead += by,
-            Trouble::Deaf(span) => at.deaf_until = at.deaf_until.max(now + span),
-            Trouble::Mute(span) => at.mute_until = at.mute_until.max(now + span),
+            BudgetTrouble::Stops(span) => at.stopped_until = at.stopped_until.max(now + span),
+            BudgetTrouble::Jumps(by) => at.ahead += by,
+            BudgetTrouble::Deaf(span) => at.deaf_until = at.deaf_until.max(now + span),
+            BudgetTrouble::Mute(span) => at.mute_until = at.mute_until.max(now + span),
         }
     }
 
@@ -303,26 +303,22 @@
         let at = &mut self.fronts[front as usize];
         let Some((hand, seeker)) = at.hand.as_mut() else { return };
         let spent = match self.spec.sharing {
-            Sharing::Escrow => {
+            BudgetSharing::Escrow => {
                 let spent = hand.spend(clock);
                 seeker.wanted(clock, spent, hand);
                 spent
             }
-            Sharing::KnowsAll => {
-                while self.window.front().is_some_and(|at| at + window <= now) {
-                    self.window.pop_front();
-                }
+            BudgetSharing::KnowsAll => {
+                forget(&mut self.window, now, window);
                 self.window.len() < self.spec.units as usize
             }
-            Sharing::Fixed | Sharing::Believed => {
-                let share = if self.spec.sharing == Sharing::Fixed {
+            BudgetSharing::Fixed | BudgetSharing::Believed => {
+                let share = if self.spec.sharing == BudgetSharing::Fixed {
                     self.share.of(front) as usize
                 } else {
                     (self.spec.units / believed.max(1)) as usize
                 };
-                while at.part.front().is_some_and(|at| at + window <= now) {
-                    at.part.pop_front();
-                }
+                forget(&mut at.part, now, window);
                 let room = at.part.len() < share;
                 if room {
                     at.part.push_back(now);
@@ -340,9 +336,7 @@
         self.tally.spent += 1;
         self.seconds[second].1 += 1;
         self.window.push_back(now);
-        while self.window.front().is_some_and(|at| at + self.spec.terms.window <= now) {
-            self.window.pop_front();
-        }
+        forget(&mut self.window, now, self.spec.terms.window);
         self.tally.most = self.tally.most.max(self.window.len());
     }
 
@@ -361,14 +355,14 @@
     fn wakes(&mut self, front: u32) {
         let (now, clock) = (self.queue.now(), self.clock(front));
         match self.spec.sharing {
-            Sharing::Escrow => {
+            BudgetSharing::Escrow => {
                 let at = &mut self.fronts[front as usize];
                 let Some((hand, seeker)) = at.hand.as_mut() else { return };
                 for (to, word) in seeker.words(clock, hand, |_| true) {
                     self.say(front, to, Said::Word(word.write()));
                 }
             }
-            Sharing::Believed if now / SAYS != (now + BEAT) / SAYS => {
+            BudgetSharing::Believed if now / SAYS != (now + BEAT) / SAYS => {
                 // To a tenth of the fleet at a time, so that each hears each within a second.
                 let fronts = self.spec.fronts;
                 let first = ((now / SAYS) as u32 + front) % 10;
@@ -422,8 +416,20 @@
     }
 }
 
+/// What was spent before the window that ends now is forgotten.
+fn forget(spent: &mut VecDeque<Micros>, now: Micros, window: Micros) {
+    while spent.front().is_some_and(|at| at + window <= now) {
+        spent.pop_front();
+    }
+}
+
 /// Troubles drawn for a fleet: deaths, standstills around a lease's length, deaf and mute fronts, clocks that jump.
-pub fn drawn_troubles(fronts: u32, span: Micros, lease: Micros, seed: u64) -> Vec<(Micros, u32, Trouble)> {
+pub fn drawn_troubles(
+    fronts: u32,
+    span: Micros,
+    lease: Micros,
+    seed: u64,
+) -> Vec<(Micros, u32, BudgetTrouble)> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xb0d9e7);
     let mut troubles = Vec::new();
     for _ in 0..rng.random_range(2..=8) {
@@ -435,12 +441,12 @@
         let struck: BTreeSet<u32> = (0..fronts).filter(|_| rng.random_bool(part)).collect();
         for front in struck {
             let trouble = match kind {
-                0 => Trouble::Dies(Some(rng.random_range(0..2_000_000))),
-                1 => Trouble::Stops(around),
-                2 => Trouble::Deaf(around * 3),
-                3 => Trouble::Mute(around * 3),
-                4 => Trouble::Jumps(5_000_000),
-                _ => Trouble::Jumps(-5_000_000),
+                0 => BudgetTrouble::Dies(Some(rng.random_range(0..2_000_000))),
+                1 => BudgetTrouble::Stops(around),
+                2 => BudgetTrouble::Deaf(around * 3),
+                3 => BudgetTrouble::Mute(around * 3),
+                4 => BudgetTrouble::Jumps(5_000_000),
+                _ => BudgetTrouble::Jumps(-5_000_000),
             };
             troubles.push((at + rng.random_range(0..100_000), front, trouble));
         }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -20,7 +20,7 @@
 mod way;
 mod world;
 
-pub use budgets::{drawn_troubles, share_budget, BudgetSpec, BudgetTally, Sharing, Trouble};
+pub use budgets::{drawn_troubles, share_budget, BudgetSharing, BudgetSpec, BudgetTally, BudgetTrouble};
 pub use caller::{CallerInput, CallerOutput, CallerSpec, Callers};
 pub use far_end::{FarEnd, FarEndSpec, FarInput, FarOutput};
 pub use link::Fault;
--- a/crates/emulator/src/world/faults.rs
+++ b/crates/emulator/src/world/faults.rs
@@ -77,7 +77,8 @@
         }
     }
 
-    /// What a front sends into a severed way is on record when it enters it: it may be given up before it arrives.
+    /// What a front sends into a severed way is on record when it enters it: it may be given up before it arrives. Into
+    /// others a set-up is, for sums alone: a server that stands still reads at once what was sent over seconds.
     pub(super) fn enters(&mut self, id: u64, direction: usize, parcel: &Parcel, fault: Fault) {
         let ends = self.conns.get(id).map(|conn| (conn.initiator, conn.responder));
         let Some((End::FrontServer(front, _), End::Server(server))) = ends else { return };
@@ -85,24 +86,17 @@
             return;
         }
         let (front, server) = (front as u32, server as u16);
-        if !fault.stalled {
-            // For sums alone: a server that stands still reads at once what was sent over seconds.
-            if let Parcel::Message(message) = parcel {
-                let ccr = Ccr::read(message).ok().filter(|ccr| ccr.request_type == RequestType::Initial);
-                if let Some(attempt) = ccr.map(|ccr| ccr.session.to_owned()) {
-                    self.record(Moment::Entered { server, attempt });
-                }
-            }
-            return;
-        }
         match parcel {
-            Parcel::Closed => self.record(Moment::Unlinked { server, front }),
+            Parcel::Closed if fault.stalled => self.record(Moment::Unlinked { server, front }),
             Parcel::Message(message) => {
                 let Ok(ccr) = Ccr::read(message) else { return };
-                let call = (ccr.request_type == RequestType::Initial)
-                    .then(|| message.text(dict::CC_CORRELATION_ID).unwrap_or("").to_owned());
-                let attempt = ccr.session.to_owned();
-                self.record(Moment::Sent { server, front, call, attempt });
+                let (first, attempt) = (ccr.request_type == RequestType::Initial, ccr.session.to_owned());
+                if fault.stalled {
+                    let call = first.then(|| message.text(dict::CC_CORRELATION_ID).unwrap_or("").to_owned());
+                    self.record(Moment::Sent { server, front, call, attempt });
+                } else if first {
+                    self.record(Moment::Entered { server, attempt });
+                }
             }
             _ => {}
         }
