A fleet that lends without a cold-rate of 1 or more is a problem of the configuration

Seen, as a new user with one wrong line: lends=#true without the policy's cold-rate passed the check, and nothing was shared; with a cold-rate below 1 it came to no unit, and nothing would ever have gone to a cold server. config/check.rs names it with its place. Test: config's, which fails without the check; measured: GOOD with lends passes, without a cold-rate or with 0.5 one problem each, and none where nothing is lent.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -36,6 +36,11 @@
     if config.serves.is_empty() {
         front.wrong("no realm is served", Some("serves \"core.example\": the Destination-Realm of calls"));
     }
+    // Units are whole set-ups: with less than one nothing would ever go to a cold server.
+    let lends = config.fleet.as_ref().is_some_and(|fleet| fleet.lends);
+    if lends && config.limits.cold_rate.is_none_or(|rate| rate < 1.0) {
+        front.wrong("the fleet lends of a cold-rate of 1 or more", Some("policy { cold-rate 28 }"));
+    }
     if config.settings.ordinal >= config.settings.fronts {
         front.wrong_at("ordinal", "ordinal must be less than fronts", Some("ordinals count from 0"));
     }
--- a/crates/config/tests/config.rs
+++ b/crates/config/tests/config.rs
@@ -77,6 +77,20 @@
     }
 }
 
+/// Guards against a budget that is said to be shared and is not there, which nobody would notice.
+#[test]
+fn a_fleet_that_lends_needs_something_to_lend() {
+    let lends = GOOD.replace("fleet bind=", "fleet lends=#true bind=");
+    assert!(
+        wrong(&lends).is_empty() && parse("test.kdl", &lends).is_ok_and(|c| c.fleet.is_some_and(|f| f.lends))
+    );
+    for nothing in ["", " cold-rate 0.5;"] {
+        let found = wrong(&lends.replace(" cold-rate 12.5;", nothing));
+        assert_eq!(found, ["2:1: the fleet lends of a cold-rate of 1 or more"]);
+        assert!(wrong(&GOOD.replace(" cold-rate 12.5;", nothing)).is_empty(), "it is no matter without");
+    }
+}
+
 #[test]
 fn all_problems_are_told_at_once_in_order() {
     let broken =
