Names of a process are drawn: two that start in one second shared Session-Ids

Cause: front/lib.rs took the boot number from the wall clock in whole seconds; Session-Ids, text contexts, text transactions and the incarnation of a fleet's loans were all made of it, so a late word on the first process's attempt was taken for the second's, and a loan's name was used twice. A wall clock that steps back does the same.

Examined: attempts of the module and the engine are per process and were not concerned; the node names calls by its callers' ids.

--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -2,7 +2,7 @@
 //!
 //! Whatever becomes of the driver, no process stays behind; what a process does unasked is told.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
@@ -92,6 +92,36 @@
     }
 }
 
+/// The calls that set-ups of one name were for, by name, as the record shows what entered the net.
+fn calls_by_attempt(record: &str) -> BTreeMap<String, BTreeSet<String>> {
+    let mut all: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+    for line in record.lines() {
+        let line: serde_json::Value = serde_json::from_str(line).expect("a line of the record");
+        if line["moment"] == "sent" {
+            if let (Some(attempt), Some(call)) = (line["attempt"].as_str(), line["call"].as_str()) {
+                all.entry(attempt.to_owned()).or_default().insert(call.to_owned());
+            }
+        }
+    }
+    all
+}
+
+/// Guards against processes that take their names from a clock: six that serve 0.4 s each are two and three within a
+/// second, and a late word on one's attempt was taken for the next one's.
+#[test]
+fn processes_of_one_front_never_share_an_attempts_name() {
+    let (script, folder) = script("names", 4, "crashing at=\"500ms\" front=0 times=6\n");
+    let record = folder.join("record.jsonl");
+    let output = driver(&script, &folder).arg("--record").arg(&record).output().expect("the driver");
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stdout));
+    let calls = calls_by_attempt(&std::fs::read_to_string(record).expect("a record"));
+    let processes = calls.keys().filter(|name| name.starts_with("front0.")).map(|name| name.rsplit_once(';'));
+    let processes: BTreeSet<_> = processes.flatten().map(|(process, _)| process).collect();
+    assert!(processes.len() > 3, "of seven processes so few sent anything: {processes:?}");
+    let shared: Vec<_> = calls.iter().filter(|(_, calls)| calls.len() > 1).collect();
+    assert_eq!(shared, Vec::<(&String, &BTreeSet<String>)>::new());
+}
+
 #[test]
 fn a_killed_driver_leaves_no_process() {
     let (script, folder) = script("killed", 60, "");
--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -19,6 +19,7 @@
 use baydrift_trunk::{CallKey, Setup};
 use tracing::{debug, debug_span, Span};
 
+use crate::boot::Boot;
 use crate::doors::Opened;
 use crate::facts::{number_of, Table};
 use crate::meaning::{cause_of, code_of, end_of};
@@ -255,7 +256,9 @@
 pub struct Desk {
     pub(crate) host: String,
     realm: String,
-    pub(crate) boot: u32,
+    pub(crate) boot: Boot,
+    /// What its Session-Ids begin with.
+    process: String,
     pub(crate) table: Table,
     pub(crate) text: Text,
     trunk: TrunkSide,
@@ -277,11 +280,11 @@
 }
 
 impl Desk {
-    /// A desk by a configuration. `boot` tells this process from earlier ones in Session-Ids.
+    /// A desk by a configuration. `boot` tells this process from all others in Session-Ids.
     ///
     /// # Errors
     /// Where the engine cannot be made of the settings.
-    pub fn new(config: &Config, boot: u32, seed: u64) -> Result<Self, EngineError> {
+    pub fn new(config: &Config, boot: Boot, seed: u64) -> Result<Self, EngineError> {
         Ok(Self::with_engine(
             config,
             boot,
@@ -293,12 +296,12 @@
     ///
     /// # Errors
     /// As [`Desk::new`].
-    pub fn with_policy(config: &Config, boot: u32, policy: Box<dyn Policy>) -> Result<Self, EngineError> {
+    pub fn with_policy(config: &Config, boot: Boot, policy: Box<dyn Policy>) -> Result<Self, EngineError> {
         let engine = Engine::with_policy(config.settings.clone(), config.limits.clone(), policy)?;
         Ok(Self::with_engine(config, boot, engine))
     }
 
-    fn with_engine(config: &Config, boot: u32, mut engine: Engine<Payload>) -> Self {
+    fn with_engine(config: &Config, boot: Boot, mut engine: Engine<Payload>) -> Self {
         engine.handle(0, Input::List(ListKind::Full, Roster::first(config)), &mut Vec::new());
         if config.pool.is_some() {
             engine.awaits_list(0);
@@ -307,7 +310,7 @@
             config.limits.cold_rate.filter(|_| config.fleet.as_ref().is_some_and(|fleet| fleet.lends));
         if let Some(units) = units {
             let (fronts, ordinal) = (config.settings.fronts, config.settings.ordinal);
-            engine.shares(Sharing { units: units as u32, fronts, ordinal, incarnation: u64::from(boot) });
+            engine.shares(Sharing { units: units as u32, fronts, ordinal, incarnation: boot.incarnation });
         }
         let trunk = TrunkSide::new(config);
         for (link, owner) in trunk.links() {
@@ -317,9 +320,10 @@
             trunk,
             host: config.host.clone(),
             realm: config.realm.clone(),
+            process: format!("{};{boot}", config.host),
             boot,
             table: Table::new(config),
-            text: Text::new(config, u64::from(boot)),
+            text: Text::new(config, boot.incarnation),
             roster: Roster::new(config),
             origin: [
                 Avp::text(dict::ORIGIN_HOST, &config.host),
@@ -579,14 +583,12 @@
 
     /// Session-Id towards servers: this host, this boot, the attempt (RFC 6733, section 8.8).
     fn session_of(&self, attempt: AttemptId) -> String {
-        format!("{};{};{}", self.host, self.boot, attempt.0)
+        format!("{};{}", self.process, attempt.0)
     }
 
     fn attempt_of(&self, session: &str) -> Option<AttemptId> {
-        let mut parts = session.rsplitn(3, ';');
-        let attempt = parts.next()?.parse().ok()?;
-        let boot: u32 = parts.next()?.parse().ok()?;
-        (boot == self.boot && parts.next()? == self.host).then_some(AttemptId(attempt))
+        let (process, attempt) = session.rsplit_once(';')?;
+        (process == self.process).then_some(AttemptId(attempt.parse().ok()?))
     }
 
     // --- trunks ---
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`baydrift_diameter::Peer`] has checked, and sends what comes out. [`Doors`] counts connections before and
 //! after their capabilities exchange. [`Transit`] is one server link's memory of requests sent.
 
+mod boot;
 mod commands;
 mod desk;
 mod doors;
@@ -17,6 +18,7 @@
 mod transit;
 mod trunk;
 
+pub use boot::Boot;
 pub use desk::{Desk, DeskInput, DeskOutput, Held};
 pub use doors::{Doors, Opened};
 pub use facts::{number_of, Facts, Table};
--- a/crates/desk/src/links.rs
+++ b/crates/desk/src/links.rs
@@ -14,15 +14,15 @@
 use crate::desk::DeskInput;
 use crate::transit::{Kind, Transit};
 
-/// What a front says of itself to its peers. `boot` is its Origin-State-Id.
-pub fn local(config: &Config, address: IpAddr, boot: u32) -> Arc<Local> {
+/// What a front says of itself to its peers. `state_id` is its Origin-State-Id.
+pub fn local(config: &Config, address: IpAddr, state_id: u32) -> Arc<Local> {
     Arc::new(Local {
         host: config.host.clone(),
         realm: config.realm.clone(),
         addresses: vec![address],
         vendor: 0,
         product: "baydrift".into(),
-        state_id: boot,
+        state_id,
         applications: vec![APPLICATION],
         commands: vec![(APPLICATION, code::CREDIT_CONTROL), (APPLICATION, code::ABORT_SESSION)],
     })
--- a/crates/emulator/src/front.rs
+++ b/crates/emulator/src/front.rs
@@ -9,7 +9,8 @@
 use baydrift_call::{EngineError, LinkId, Policy};
 use baydrift_config::Config;
 use baydrift_desk::{
-    local, ClientLink, Desk, DeskInput, DeskOutput, Doors, LinkOutput, PoolList, ServerLink, Stalls, CATCH_UP,
+    local, Boot, ClientLink, Desk, DeskInput, DeskOutput, Doors, LinkOutput, PoolList, ServerLink, Stalls,
+    CATCH_UP,
 };
 use baydrift_diameter::{Frame, Local, Message, PeerInput, Side};
 use rand::Rng;
@@ -80,8 +81,8 @@
     ) -> Result<Self, EngineError> {
         let seed = config.seed.unwrap_or_else(|| rng.random());
         let desk = match policy {
-            Some(policy) => Desk::with_policy(&config, boot, policy)?,
-            None => Desk::new(&config, boot, seed)?,
+            Some(policy) => Desk::with_policy(&config, Boot::numbered(boot), policy)?,
+            None => Desk::new(&config, Boot::numbered(boot), seed)?,
         };
         let local = local(&config, config.listen.ip(), boot);
         let link =
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -24,7 +24,7 @@
 use baydrift::interface::Micros;
 use baydrift_call::{Counts, EngineError, LinkId, Policy};
 use baydrift_config::{Config, Dial};
-use baydrift_desk::{local, Desk, DeskInput, Doors, Held};
+use baydrift_desk::{local, Boot, Desk, DeskInput, Doors, Held};
 use baydrift_diameter::{Codec, Local, Message};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -244,13 +244,14 @@
     /// As [`Bound::start`].
     pub fn start_with(self, policy: Option<Box<dyn Policy>>) -> Result<Front, FrontError> {
         let Self { config, listener, pool, fleet, text_udp, text_tcp, signalling, admin, addrs } = self;
-        let boot = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs() as u32);
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
+        let boot = Boot::at(unix, rand::random());
         let seed = config.seed.unwrap_or_else(rand::random);
         let desk = match policy {
             Some(policy) => Desk::with_policy(&config, boot, policy)?,
             None => Desk::new(&config, boot, seed)?,
         };
-        let local = local(&config, addrs.diameter.ip(), boot);
+        let local = local(&config, addrs.diameter.ip(), boot.state_id);
         let (to_core, from_links) = mpsc::channel(CORE_QUEUE);
         let (closing, closed) = watch::channel(false);
         let (mut inbound, mut servers) = (BTreeMap::new(), Vec::new());
