--- a/crates/cli/src/front.rs
+++ b/crates/cli/src/front.rs
@@ -63,10 +63,11 @@
     }
 }
 
-pub async fn run(path: &Path) -> miette::Result<ExitCode> {
+pub async fn run(path: &Path, clock_off: i64) -> miette::Result<ExitCode> {
     let config = load(path)?;
-    let bound = Bound::bind(config.clone()).await.into_diagnostic()?;
+    let mut bound = Bound::bind(config.clone()).await.into_diagnostic()?;
     announce(&config, &bound.addrs());
+    bound.set_clock_off(clock_off);
     let front = bound.start().into_diagnostic()?;
     told_to_stop().await;
     front.stop().await;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -33,6 +33,9 @@
     /// Ends with the process of this id, which started it.
     #[arg(long, global = true, hide = true)]
     tied: Option<u32>,
+    /// The wall clock is taken for so many microseconds off.
+    #[arg(long, global = true, hide = true, allow_negative_numbers = true, default_value = "0")]
+    clock_off: i64,
     #[command(subcommand)]
     command: Command,
 }
@@ -102,8 +105,8 @@
     // Made where it is needed: a front node has one thread, and some commands wait for nothing.
     let runtime = || tokio::runtime::Builder::new_multi_thread().enable_all().build().into_diagnostic();
     match args.command {
-        Command::Front { config } => runtime()?.block_on(front::run(&config)),
-        Command::Node => node::run(),
+        Command::Front { config } => runtime()?.block_on(front::run(&config, args.clock_off)),
+        Command::Node => node::run(args.clock_off),
         Command::Check { config } => front::check(&config),
         Command::Demo(args) => runtime()?.block_on(demo::run(args)),
         Command::Day(args) => runtime()?.block_on(day::run(args)),
--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -9,10 +9,10 @@
 const UNUSABLE: u8 = 2;
 
 /// Runs until it is told to stop.
-pub fn run() -> miette::Result<ExitCode> {
+pub fn run(clock_off: i64) -> miette::Result<ExitCode> {
     // One core and little memory: one thread, and one that runs all.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().into_diagnostic()?;
-    let node = async { coat::run(Config::path()?).await };
+    let node = async { coat::run(Config::path()?, clock_off).await };
     Ok(match tokio::task::LocalSet::new().block_on(&runtime, node) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -122,6 +122,32 @@
     assert_eq!(shared, Vec::<(&String, &BTreeSet<String>)>::new());
 }
 
+#[test]
+fn processes_short_of_descriptors_and_memory_slow_to_start_and_with_wrong_clocks_keep_the_rules() {
+    let troubles = "descriptors at=\"300ms\" front=0 most=8 for=\"1200ms\"
+reset at=\"500ms\" server=0
+reset at=\"500ms\" server=1
+reconnect at=\"800ms\" front=0
+memory at=\"500ms\" front=2 more-kb=0 for=\"2s\"
+kill at=\"1s\" front=1 back-after=\"50ms\" clock-behind=\"5s\"
+kill at=\"2s\" front=1 back-after=\"50ms\" slow=\"1s\" clock-ahead=\"5s\"
+";
+    let (script, folder) = script("limits", 4, troubles);
+    let record = folder.join("record.jsonl");
+    let output = driver(&script, &folder).arg("--record").arg(&record).output().expect("the driver");
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stdout));
+    // It was short of descriptors: otherwise nothing was shown.
+    let log = std::fs::read_to_string(folder.join("front0.log")).expect("a log");
+    assert!(log.contains("os error 24"), "{log}");
+    // Their clocks were wrong: state ids of three processes, the second one's behind and the third one's ahead.
+    let calls = calls_by_attempt(&std::fs::read_to_string(record).expect("a record"));
+    let state =
+        |name: &String| name.strip_prefix("front1.edge.test;")?.split('-').next()?.parse::<i64>().ok();
+    let states: BTreeSet<_> = calls.keys().filter_map(state).collect();
+    let [behind, right, ahead] = states.iter().copied().collect::<Vec<_>>()[..] else { panic!("{states:?}") };
+    assert!((30..50).contains(&(right - behind)) && (50..90).contains(&(ahead - right)), "{states:?}");
+}
+
 #[test]
 fn a_killed_driver_leaves_no_process() {
     let (script, folder) = script("killed", 60, "");
--- a/crates/day/src/course.rs
+++ b/crates/day/src/course.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cast::usual;
-use crate::script::{Day, Party, Trouble, What};
+use crate::script::{Day, Party, Start, Trouble, What};
 
 /// What servers the list service knows, and since when; it reaches fronts later.
 pub(crate) type Pool = Vec<(Listed, Option<Micros>)>;
@@ -49,7 +49,9 @@
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum Process {
     /// A front's process is killed, or told to end; another starts after that, if at all.
-    Stop { front: usize, kill: bool, back_after: Option<Micros> },
+    Stop { front: usize, kill: bool, back_after: Option<Micros>, start: Start },
+    /// A front's process may hold no more than this, or as much as it wants again.
+    Starve { front: usize, of: Starved, starved: bool },
     /// A front is killed so many times soon after it served.
     Crash { front: usize, times: u32 },
     /// A server's process is stopped, or goes on.
@@ -60,6 +62,24 @@
     Reset { server: usize },
 }
 
+/// What a process runs short of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Starved {
+    /// File descriptors that it may hold.
+    Descriptors(u64),
+    /// Bytes that it may take beyond those that it holds.
+    Memory(u64),
+}
+
+fn starve(what: &What, starved: bool, hands: &mut impl Hands) {
+    let (front, of) = match *what {
+        What::Descriptors { front, most } => (front, Starved::Descriptors(most)),
+        What::Memory { front, more } => (front, Starved::Memory(more)),
+        _ => return,
+    };
+    hands.process(Process::Starve { front, of, starved });
+}
+
 /// What is still to be done.
 enum Then {
     Begin(Trouble),
@@ -200,12 +220,15 @@
                 self.offers(hands, |offers| offers.flood = Some((*publisher, *factor)))
             }
             What::MessagesLost { share } => hands.lose_messages(*share),
-            What::Kill { front, back_after } => {
-                hands.process(Process::Stop { front: *front, kill: true, back_after: *back_after });
+            What::Kill { front, back_after, start } => {
+                let (front, back_after, start) = (*front, *back_after, *start);
+                hands.process(Process::Stop { front, kill: true, back_after, start });
             }
-            What::Restart { front, back_after } => {
-                hands.process(Process::Stop { front: *front, kill: false, back_after: *back_after });
+            What::Restart { front, back_after, start } => {
+                let (front, back_after, start) = (*front, *back_after, *start);
+                hands.process(Process::Stop { front, kill: false, back_after, start });
             }
+            What::Descriptors { .. } | What::Memory { .. } => starve(what, true, hands),
             What::Crashing { front, times } => hands.process(Process::Crash { front: *front, times: *times }),
             What::Freeze { server } => hands.process(Process::Freeze { server: *server, frozen: true }),
             What::Reset { server } => hands.process(Process::Reset { server: *server }),
@@ -230,6 +253,7 @@
             What::Hot { .. } => self.offers(hands, |offers| offers.hot = 0.0),
             What::Flood { .. } => self.offers(hands, |offers| offers.flood = None),
             What::MessagesLost { .. } => hands.lose_messages(0.0),
+            What::Descriptors { .. } | What::Memory { .. } => starve(what, false, hands),
             What::Freeze { server } => hands.process(Process::Freeze { server: *server, frozen: false }),
             What::Sever { from, to, one_way } => self.sever(from, to, *one_way, false, hands),
             What::Redials { .. } => {
--- a/crates/day/src/draw.rs
+++ b/crates/day/src/draw.rs
@@ -4,7 +4,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::script::{Day, Party, Trouble, What};
+use crate::script::{Day, Party, Start, Trouble, What};
 
 const MS: Micros = 1_000;
 
@@ -38,8 +38,8 @@
     // One that is back at once, or after a while.
     let back = if rng.random_bool(0.5) { 50 * MS } else { rng.random_range(100 * MS..3_000 * MS) };
     let what = match rng.random_range(0..9) {
-        0..=2 => What::Kill { front, back_after: Some(back) },
-        3 => What::Restart { front, back_after: Some(back) },
+        0..=2 => What::Kill { front, back_after: Some(back), start: Start::default() },
+        3 => What::Restart { front, back_after: Some(back), start: Start::default() },
         4 => What::Crashing { front, times: rng.random_range(2..=3) },
         5 => What::Freeze { server },
         6 => What::Reset { server },
--- a/crates/day/src/emulated.rs
+++ b/crates/day/src/emulated.rs
@@ -95,7 +95,11 @@
         };
         match trouble {
             // In virtual time a process that is told to end is killed: an orderly stop is the coat's.
-            Process::Stop { front, back_after, .. } => self.world.kill(front, back_after),
+            Process::Stop { front, back_after, start, .. } => {
+                self.world.kill(front, back_after.map(|back| back + start.slow));
+            }
+            // A front in virtual time holds no descriptors, and its memory is the driver's.
+            Process::Starve { .. } => {}
             Process::Crash { front, times } => {
                 self.crashes
                     .extend((0..times).map(|n| (self.world.now() + u64::from(n) * SERVES_FOR, front)));
--- a/crates/day/src/processes/child.rs
+++ b/crates/day/src/processes/child.rs
@@ -11,11 +11,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use rustix::process::{pidfd_open, pidfd_send_signal, Pid, PidfdFlags, Signal};
+use rustix::process::{
+    getrlimit, pidfd_open, pidfd_send_signal, prlimit, Pid, PidfdFlags, Resource, Rlimit, Signal,
+};
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{ChildStdin, ChildStdout, Command};
 use tokio::sync::watch;
 
+use crate::course::Starved;
 use crate::error::DayError;
 
 /// The program that plays all parts of a day.
@@ -117,6 +120,38 @@
         self.signal(if frozen { Signal::STOP } else { Signal::CONT });
     }
 
+    /// What it may hold from now on; `None` lifts both limits. By its number, which is its own until it is reaped here.
+    pub(crate) fn limit(&self, of: Option<Starved>) -> std::io::Result<()> {
+        if !self.runs() {
+            return Ok(());
+        }
+        // It was started with the driver's own limits; the hard ones stay, since only root raises them again.
+        let set = |resource, most: Option<u64>| {
+            let own = getrlimit(resource);
+            let current =
+                most.map_or(own.current, |most| Some(own.maximum.map_or(most, |hard| most.min(hard))));
+            prlimit(Some(self.pid), resource, Rlimit { current, ..own }).map(drop)
+        };
+        match of {
+            Some(Starved::Descriptors(most)) => set(Resource::Nofile, Some(most))?,
+            Some(Starved::Memory(more)) => {
+                set(Resource::Data, Some(self.holds("VmData:").unwrap_or(0) + more))?
+            }
+            None => {
+                set(Resource::Data, None)?;
+                set(Resource::Nofile, None)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// A figure of the system's table on it, in bytes.
+    fn holds(&self, what: &str) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid.as_raw_nonzero())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix(what))?;
+        Some(line.split_whitespace().next()?.parse::<u64>().ok()? * 1_024)
+    }
+
     pub(crate) fn runs(&self) -> bool {
         self.ended.borrow().is_none()
     }
--- a/crates/day/src/processes/mod.rs
+++ b/crates/day/src/processes/mod.rs
@@ -25,7 +25,7 @@
 use crate::cast::{callers, config_text_at, sessions, texts, usual, Places};
 use crate::error::DayError;
 use crate::run::{aftermath, follow, outcome, Outcome};
-use crate::script::Day;
+use crate::script::{Day, Start};
 
 /// A process that does not serve within this has not started.
 const STARTS_WITHIN: Duration = Duration::from_secs(30);
@@ -54,12 +54,13 @@
         ordinal: u32,
         servers: &[SocketAddr],
         places: &Places,
+        start: Start,
     ) -> Result<(Front, Places), DayError> {
         let text = config_text_at(&self.day, ordinal, servers, self.day.fronts > 1, places);
         let name = format!("front{ordinal}");
         let path = self.program.logs.join(format!("{name}.kdl"));
         std::fs::write(&path, text)?;
-        Front::start(&self.program, &name, &path, self.day.fronts > 1, places).await
+        Front::start(&self.program, &name, &path, self.day.fronts > 1, places, start).await
     }
 }
 
@@ -118,7 +119,7 @@
     for (ordinal, others) in others.into_iter().enumerate() {
         let addrs: Vec<_> = streams[ordinal].iter().map(|relay| relay.addr).collect();
         let places = Places { others, ..Places::of_process(std::process::id(), ordinal as u32) };
-        let (front, places) = cast.front(ordinal as u32, &addrs, &places).await?;
+        let (front, places) = cast.front(ordinal as u32, &addrs, &places, Start::default()).await?;
         let seed = salt(3, ordinal, 0);
         lists.push(Streams::start(places.pool, day.net, seed, None, recorder.clone(), own.clone()).await?);
         fronts.push((front, places, addrs));
--- a/crates/day/src/processes/stage.rs
+++ b/crates/day/src/processes/stage.rs
@@ -19,9 +19,9 @@
 use super::role::{Hello, Order, Role, Word};
 use super::{Cast, ENDS_WITHIN, STARTS_WITHIN};
 use crate::cast::Places;
-use crate::course::{Hands, Pool, Process, SERVES_FOR};
+use crate::course::{Hands, Pool, Process, Starved, SERVES_FOR};
 use crate::error::DayError;
-use crate::script::Party;
+use crate::script::{Party, Start as NextStart};
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -119,13 +119,23 @@
         config: &Path,
         fleet: bool,
         places: &Places,
+        start: NextStart,
     ) -> Result<(Self, Places), DayError> {
         let config = config.to_string_lossy();
+        let off = start.clock_off.to_string();
         let other = program.fronts_by.as_deref().map(Path::to_string_lossy);
         // An older build may not know what ties it to the driver: it takes the place of a process that is tied.
         let mut words = other.as_ref().map_or(Vec::new(), |other| vec!["become", other.as_ref(), "--"]);
         words.extend(["front", &config]);
+        if start.clock_off != 0 {
+            words.extend(["--clock-off", &off]);
+        }
         let mut child = Child::start(program, name, &words)?;
+        if start.slow > 0 {
+            child.freeze(true);
+            tokio::time::sleep(Duration::from_micros(start.slow)).await;
+            child.freeze(false);
+        }
         let mut lines = child.lines().ok_or(DayError::Ended)?;
         let mut places = places.clone();
         let mut missing = 3 + usize::from(fleet);
@@ -261,7 +271,7 @@
         lock(&self.fronts[front].now).clone().filter(|child| child.runs())
     }
 
-    fn stop_front(&mut self, front: usize, kill: bool, back_after: Option<Micros>) {
+    fn stop_front(&mut self, front: usize, kill: bool, back_after: Option<Micros>, start: NextStart) {
         let (slot, cast, faults) = (self.fronts[front].clone(), self.cast.clone(), self.faults.clone());
         // Taken at once: whatever comes next for it finds it gone.
         let Some(child) = lock(&slot.now).take() else { return };
@@ -270,18 +280,26 @@
             end_front(&cast, &slot, child, kill, &faults).await;
             if let Some(back) = back_after {
                 tokio::time::sleep(Duration::from_micros(back)).await;
-                start_front(&cast, &slot, &faults).await;
+                start_front(&cast, &slot, start, &faults).await;
             }
         });
     }
 
+    /// A front's process runs short of something, or no more. One that ends of it ended by itself.
+    fn starve(&mut self, front: usize, of: Starved, starved: bool) {
+        let Some(child) = self.front(front) else { return };
+        if let Err(error) = child.limit(starved.then_some(of)) {
+            lock(&self.faults).push(format!("{}: its limit cannot be set: {error}", child.name));
+        }
+    }
+
     fn crash(&mut self, front: usize, times: u32) {
         let (slot, cast, faults) = (self.fronts[front].clone(), self.cast.clone(), self.faults.clone());
         self.tasks.spawn(async move {
             for _ in 0..times {
                 let Some(child) = lock(&slot.now).take() else { return };
                 end_front(&cast, &slot, child, true, &faults).await;
-                start_front(&cast, &slot, &faults).await;
+                start_front(&cast, &slot, NextStart::default(), &faults).await;
                 tokio::time::sleep(Duration::from_micros(SERVES_FOR)).await;
             }
         });
@@ -362,8 +380,8 @@
     cast.recorder.put(Moment::Killed { front });
 }
 
-async fn start_front(cast: &Cast, slot: &Slot, faults: &Mutex<Vec<String>>) {
-    match cast.front(slot.ordinal, &slot.servers, &slot.places).await {
+async fn start_front(cast: &Cast, slot: &Slot, start: NextStart, faults: &Mutex<Vec<String>>) {
+    match cast.front(slot.ordinal, &slot.servers, &slot.places, start).await {
         Ok((front, _)) => {
             cast.recorder.put(Moment::Started { front: slot.ordinal });
             *lock(&slot.now) = Some(front.child);
@@ -417,7 +435,10 @@
 
     fn process(&mut self, trouble: Process) {
         match trouble {
-            Process::Stop { front, kill, back_after } => self.stop_front(front, kill, back_after),
+            Process::Stop { front, kill, back_after, start } => {
+                self.stop_front(front, kill, back_after, start);
+            }
+            Process::Starve { front, of, starved } => self.starve(front, of, starved),
             Process::Crash { front, times } => self.crash(front, times),
             Process::Freeze { server, frozen } => {
                 if let Some(actor) = &*lock(&self.servers[server].now) {
--- a/crates/day/src/schedule.rs
+++ b/crates/day/src/schedule.rs
@@ -4,7 +4,7 @@
 
 use baydrift::interface::Micros;
 
-use crate::script::{Party, Trouble, What};
+use crate::script::{Party, Start, Trouble, What};
 
 /// The troubles as a script says them, one a line, to the microsecond: read again, they are the same.
 pub fn schedule_text(troubles: &[Trouble]) -> String {
@@ -42,8 +42,14 @@
         What::ListLag { lag } => format!("list-lag lag=\"{lag}us\""),
         What::MessagesLost { share } => format!("messages-lost share={share:?}"),
         What::Flood { publisher, factor } => format!("flood publisher={publisher} factor={factor:?}"),
-        What::Kill { front, back_after } => format!("kill front={front}{}", back(back_after)),
-        What::Restart { front, back_after } => format!("restart front={front}{}", back(back_after)),
+        What::Kill { front, back_after, start } => {
+            format!("kill front={front}{}{}", back(back_after), started(start))
+        }
+        What::Restart { front, back_after, start } => {
+            format!("restart front={front}{}{}", back(back_after), started(start))
+        }
+        What::Descriptors { front, most } => format!("descriptors front={front} most={most}"),
+        What::Memory { front, more } => format!("memory front={front} more-kb={}", more >> 10),
         What::Crashing { front, times } => format!("crashing front={front} times={times}"),
         What::Freeze { server } => format!("freeze server={server}"),
         What::Reset { server } => format!("reset server={server}"),
@@ -54,6 +60,12 @@
     let _ = writeln!(text, "{rest} at=\"{at}us\" for=\"{span}us\"");
 }
 
+fn started(start: &Start) -> String {
+    let us = |key: &str, us: u64| if us == 0 { String::new() } else { format!(" {key}=\"{us}us\"") };
+    let (ahead, behind) = (start.clock_off.max(0).unsigned_abs(), start.clock_off.min(0).unsigned_abs());
+    us("slow", start.slow) + &us("clock-ahead", ahead) + &us("clock-behind", behind)
+}
+
 fn names(parties: &[Party]) -> String {
     parties.iter().map(Party::to_string).collect::<Vec<_>>().join(" ")
 }
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -187,9 +187,10 @@
     pub fn lasts(&self) -> Micros {
         match &self.what {
             What::Drain { back_after, .. } => self.span + back_after.unwrap_or(0),
-            What::Die { back_after, .. }
-            | What::Kill { back_after, .. }
-            | What::Restart { back_after, .. } => back_after.unwrap_or(0),
+            What::Die { back_after, .. } => back_after.unwrap_or(0),
+            What::Kill { back_after, start, .. } | What::Restart { back_after, start, .. } => {
+                back_after.map_or(0, |back| back + start.slow)
+            }
             What::Crashing { times, .. } => Micros::from(*times) * 500 * MS,
             What::Reset { .. } | What::Cut { .. } => 0,
             _ => self.span,
@@ -197,6 +198,15 @@
     }
 }
 
+/// What is wrong with a front's next process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Start {
+    /// It stands still for so long before it does anything.
+    pub slow: Micros,
+    /// Its wall clock is so many microseconds off.
+    pub clock_off: i64,
+}
+
 /// Kinds of trouble.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[allow(missing_docs)]
@@ -264,11 +274,23 @@
     Kill {
         front: usize,
         back_after: Option<Micros>,
+        start: Start,
     },
     /// SIGTERM; another process starts once that one has ended.
     Restart {
         front: usize,
         back_after: Option<Micros>,
+        start: Start,
+    },
+    /// A front's process may hold so many file descriptors, its own among them.
+    Descriptors {
+        front: usize,
+        most: u64,
+    },
+    /// A front's process may take so many bytes more than it holds. One that ends of that has failed.
+    Memory {
+        front: usize,
+        more: u64,
     },
     /// A front that is killed so many times, each time soon after it served again.
     Crashing {
@@ -429,6 +451,8 @@
             | Self::Stall { front }
             | Self::Kill { front, .. }
             | Self::Restart { front, .. }
+            | Self::Descriptors { front, .. }
+            | Self::Memory { front, .. }
             | Self::Crashing { front, .. } => vec![Party::Front(*front)],
             Self::Sever { from, to, .. } => from.iter().chain(to).copied().collect(),
             _ => Vec::new(),
@@ -453,6 +477,8 @@
             self,
             Self::Kill { .. }
                 | Self::Restart { .. }
+                | Self::Descriptors { .. }
+                | Self::Memory { .. }
                 | Self::Crashing { .. }
                 | Self::Freeze { .. }
                 | Self::Sever { .. }
@@ -620,8 +646,10 @@
     };
     let of = |front: usize| {
         let what = match trouble.what.clone() {
-            What::Kill { back_after, .. } => What::Kill { front, back_after },
-            What::Restart { back_after, .. } => What::Restart { front, back_after },
+            What::Kill { back_after, start, .. } => What::Kill { front, back_after, start },
+            What::Restart { back_after, start, .. } => What::Restart { front, back_after, start },
+            What::Descriptors { most, .. } => What::Descriptors { front, most },
+            What::Memory { more, .. } => What::Memory { front, more },
             What::Stall { .. } => What::Stall { front },
             What::Reconnect { .. } => What::Reconnect { front },
             What::Crashing { times, .. } => What::Crashing { front, times },
@@ -635,6 +663,17 @@
     fronts.map(of).collect()
 }
 
+/// Descriptors that a starved front may hold unless it is said.
+const DESCRIPTORS: u64 = 24;
+
+fn read_start(node: &Node<'_>) -> Start {
+    let signed = |key| node.time(key, 0..=HOUR).unwrap_or(0).min(HOUR) as i64;
+    Start {
+        slow: node.time("slow", 0..=HOUR).unwrap_or(0),
+        clock_off: signed("clock-ahead") - signed("clock-behind"),
+    }
+}
+
 fn read_trouble(node: &Node<'_>) -> Option<Trouble> {
     let server = || node.whole("server", 0..=255).unwrap_or(0) as usize;
     let front = || node.whole("front", 0..=FRONTS_MOST as u64 - 1).unwrap_or(0) as usize;
@@ -676,8 +715,15 @@
             What::Flood { publisher, factor: factor() }
         }
         "messages-lost" => What::MessagesLost { share: share() },
-        "kill" => What::Kill { front: front(), back_after: back_after() },
-        "restart" => What::Restart { front: front(), back_after: back_after() },
+        "kill" => What::Kill { front: front(), back_after: back_after(), start: read_start(node) },
+        "restart" => What::Restart { front: front(), back_after: back_after(), start: read_start(node) },
+        "descriptors" => What::Descriptors {
+            front: front(),
+            most: node.whole("most", 8..=1_000_000).unwrap_or(DESCRIPTORS),
+        },
+        "memory" => {
+            What::Memory { front: front(), more: node.whole("more-kb", 0..=1 << 30).unwrap_or(0) << 10 }
+        }
         "crashing" => {
             What::Crashing { front: front(), times: node.whole("times", 1..=20).unwrap_or(3) as u32 }
         }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -161,6 +161,8 @@
     signalling: BTreeMap<u32, Role>,
     admin: Option<admin::Socket>,
     addrs: Addrs,
+    /// The wall clock is so many microseconds off.
+    clock_off: i64,
 }
 
 /// Messages that wait for the core; beyond it readers wait.
@@ -215,7 +217,7 @@
             pool: pool.as_ref().and_then(|socket| socket.local_addr().ok()),
             fleet: fleet.as_ref().and_then(|socket| socket.local_addr().ok()),
         };
-        Ok(Self { config, listener, pool, fleet, text_udp, text_tcp, signalling, admin, addrs })
+        Ok(Self { config, listener, pool, fleet, text_udp, text_tcp, signalling, admin, addrs, clock_off: 0 })
     }
 
     /// What is bound.
@@ -230,6 +232,11 @@
         }
     }
 
+    /// Takes the wall clock for so many microseconds off: a fault, for days that want one.
+    pub fn set_clock_off(&mut self, micros: i64) {
+        self.clock_off = micros;
+    }
+
     /// Starts all tasks on the current runtime.
     ///
     /// # Errors
@@ -243,9 +250,10 @@
     /// # Errors
     /// As [`Bound::start`].
     pub fn start_with(self, policy: Option<Box<dyn Policy>>) -> Result<Front, FrontError> {
-        let Self { config, listener, pool, fleet, text_udp, text_tcp, signalling, admin, addrs } = self;
+        let Self { config, listener, pool, fleet, text_udp, text_tcp, signalling, admin, addrs, clock_off } =
+            self;
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
-        let boot = Boot::at(unix, rand::random());
+        let boot = Boot::at(unix.saturating_add_signed(clock_off), rand::random());
         let seed = config.seed.unwrap_or_else(rand::random);
         let desk = match policy {
             Some(policy) => Desk::with_policy(&config, boot, policy)?,
--- a/crates/node/src/coat/mod.rs
+++ b/crates/node/src/coat/mod.rs
@@ -68,9 +68,9 @@
 }
 
 impl Clock {
-    fn new() -> Self {
+    fn new(off: i64) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { start: Instant::now(), unix: unix.as_micros() as Micros }
+        Self { start: Instant::now(), unix: (unix.as_micros() as Micros).saturating_add_signed(off) }
     }
 
     fn now(&self) -> Micros {
@@ -103,10 +103,11 @@
 }
 
 /// Runs the front node of this configuration file until it is told to stop, on a current-thread runtime within a `LocalSet`.
+/// The wall clock is taken for `clock_off` microseconds off: nought, but where a test wants a wrong one.
 ///
 /// # Errors
 /// When it cannot start; once it serves, nothing ends it but a signal.
-pub async fn run(path: PathBuf) -> Result<(), StartError> {
+pub async fn run(path: PathBuf, clock_off: i64) -> Result<(), StartError> {
     let config = Config::load(&path)?;
     let system = |what| move |e| StartError::System(what, e);
     let node = Node::new(&config)?;
@@ -132,7 +133,7 @@
     let at = listener.local_addr().map_err(|e| StartError::Listen(config.listen, e))?;
     tracing::info!("{} listens on {at}", config.name);
     let listening = spawn_local(outside::listen(listener, to_core.clone()));
-    let clock = Clock::new();
+    let clock = Clock::new(clock_off);
     let mut core = Core {
         node,
         clock,
