--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod fleet;
 mod front;
+mod lives;
 mod node;
 mod seeds;
 mod trunks;
@@ -76,6 +77,9 @@
     /// A fleet that shares one budget, in virtual time: what is used of it, or many seeds of drawn faults; exit code 1 if
     /// the sum over all fronts passes the bound.
     Budgets(budgets::Args),
+    /// A fleet that learns who of it lives, in virtual time: how soon and at what cost, or many seeds of drawn faults; exit
+    /// code 1 if a belief stays wrong.
+    Lives(lives::Args),
     /// One stand-in of a day as a process: what it plays comes on standard input.
     #[command(hide = true)]
     StandIn,
@@ -117,6 +121,7 @@
         Command::Audit { record } => day::audit(&record),
         Command::Trunks(args) => runtime()?.block_on(trunks::run(&args)),
         Command::Budgets(args) => budgets::run(&args),
+        Command::Lives(args) => lives::run(&args),
         Command::StandIn => runtime()?.block_on(day::stand_in()),
         Command::Become { program, words } => {
             use std::os::unix::process::CommandExt;
