A set-up that lay between desk and link through a standstill is not sent

Examined: the call was offered 56 us before the standstill, decided at once, and lay in the link's queue; the desk's own guard (what is read after a standstill may have waited) sees what comes in, not what goes out. Ruled out: membership, the same without it. Lines: front/server.rs and emulator/front.rs wrote whatever the queue held.

Change: ServerLink::request, which both drivers use, sends no set-up said more than 100 ms before (the standstill's own bound); the desk hears Unsent, which the engine takes for 'never left'. Releases go out however late.

Test: a_set_up_that_lay_through_a_standstill_is_not_sent_and_the_call_goes_on.

--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use baydrift::interface::{ListKind, Micros, ServerId};
+use baydrift::interface::{ListKind, Micros, Outcome, ServerId};
 use baydrift_budget::Holdings;
 use baydrift_call::guard::Breach;
 use baydrift_call::Process;
 use baydrift_call::{
-    AttemptId, Counts, Engine, EngineError, Final, Input, LinkId, LinkState, Offer, Output, Policy,
-    ReleaseResult, Request, Said, Session, Sharing,
+    AttemptEnd, AttemptId, Counts, Engine, EngineError, Final, Input, LinkId, LinkState, Offer, Output,
+    Policy, ReleaseResult, Request, Said, Session, Sharing,
 };
 use baydrift_config::Config;
 use baydrift_diameter::credit::{self, Ccr, Ends, RequestType};
@@ -87,6 +87,8 @@
     ServerDown(ServerId),
     /// A server said that it leaves.
     ServerDrains(ServerId),
+    /// A set-up that a link did not send: it had lain there while the process stood still.
+    Unsent(AttemptId),
     /// A server answered a request.
     ServerAnswer {
         /// The server.
@@ -157,6 +159,8 @@
         kind: Kind,
         /// The message; it still wants its hop-by-hop id.
         message: Message,
+        /// When it was said.
+        at: Micros,
     },
     /// H.248 text to a client.
     Text {
@@ -380,6 +384,11 @@
             }
             DeskInput::ServerSuspect(server) => self.link(now, server, LinkState::Suspect, out),
             DeskInput::ServerDown(server) => self.link(now, server, LinkState::Down, out),
+            // It never left, and nothing ran.
+            DeskInput::Unsent(attempt) => {
+                let end = AttemptEnd::plain(Outcome::Moot);
+                self.engine(now, Input::Ended { attempt, end }, out);
+            }
             DeskInput::ServerDrains(server) => self.engine(now, Input::Drains(server), out),
             DeskInput::ServerAnswer { server, attempt, kind, message } => {
                 self.server_answer(now, server, attempt, kind, &message, out);
@@ -716,11 +725,11 @@
             Output::SetUp { attempt, server, call, index, class, session, payload, timeout: _ } => {
                 payload.span.in_scope(|| debug!(call, index, server, attempt = attempt.0, "set up"));
                 let message = self.set_up(attempt, server, class, &session, &payload);
-                out.push(DeskOutput::ToServer { server, attempt, kind: Kind::SetUp, message });
+                out.push(DeskOutput::ToServer { server, attempt, kind: Kind::SetUp, message, at: now });
             }
             Output::Release { attempt, server, class } => {
                 let message = self.ccr(attempt, server, class, &self.fixed.termination);
-                out.push(DeskOutput::ToServer { server, attempt, kind: Kind::Release, message });
+                out.push(DeskOutput::ToServer { server, attempt, kind: Kind::Release, message, at: now });
             }
             Output::Answer { request, session: _, answer } => match self.trunk.asked_by(request) {
                 Some(call) => self.trunk.answer(now, call, cause_of(answer)),
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -22,7 +22,7 @@
 pub use desk::{Desk, DeskInput, DeskOutput, Held};
 pub use doors::{Doors, Opened};
 pub use facts::{number_of, Facts, Table};
-pub use links::{local, ClientLink, LinkOutput, ServerLink};
+pub use links::{local, Asked, ClientLink, LinkOutput, ServerLink};
 pub use meaning::{code_of, end_of};
 pub use pool::{PoolEntry, PoolError, PoolList};
 pub use stalls::{Stalls, CATCH_UP};
--- a/crates/desk/src/links.rs
+++ b/crates/desk/src/links.rs
@@ -12,6 +12,7 @@
 use baydrift_diameter::{code, Local, Message, Peer, PeerInput, PeerOutput, Reason, Side};
 
 use crate::desk::DeskInput;
+use crate::stalls::STALLED;
 use crate::transit::{Kind, Transit};
 
 /// What a front says of itself to its peers. `state_id` is its Origin-State-Id.
@@ -48,6 +49,17 @@
     Refused(u32),
 }
 
+/// What becomes of a request to a server.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Asked {
+    /// Send it on this transport.
+    Send(Side, Message),
+    /// There is no transport: the desk hears of that by itself.
+    Nowhere,
+    /// It is too old to go out; tell the desk.
+    Stale(DeskInput),
+}
+
 /// One server's link.
 #[derive(Debug)]
 pub struct ServerLink {
@@ -86,17 +98,24 @@
         self.peer.side()
     }
 
-    /// A request for an attempt, with its ids; `None` without a transport: the desk hears of that by itself.
+    /// A request for an attempt, said by the desk at `said_at`, with its ids.
+    ///
+    /// Guards against a process that stood still while a set-up lay between the desk and its link: on waking it would go
+    /// out seconds late, to a server that may drain by then, for a caller that may have left.
     pub fn request(
         &mut self,
-        attempt: AttemptId,
-        kind: Kind,
+        now: Micros,
+        said_at: Micros,
+        (attempt, kind): (AttemptId, Kind),
         mut message: Message,
-    ) -> Option<(Side, Message)> {
-        let side = self.peer.side()?;
+    ) -> Asked {
+        let Some(side) = self.peer.side() else { return Asked::Nowhere };
+        if kind == Kind::SetUp && now > said_at.saturating_add(STALLED) {
+            return Asked::Stale(DeskInput::Unsent(attempt));
+        }
         let hop_by_hop = self.peer.stamp(&mut message);
         self.transit.sent(hop_by_hop, attempt, kind);
-        Some((side, message))
+        Asked::Send(side, message)
     }
 
     /// Takes one input; appends what is to be done.
--- a/crates/desk/src/stalls.rs
+++ b/crates/desk/src/stalls.rs
@@ -5,7 +5,7 @@
 use crate::desk::Desk;
 
 /// A timer so late means that this process stood still.
-const STALLED: Micros = 100_000;
+pub(crate) const STALLED: Micros = 100_000;
 /// After a stall, readers get this long to hand over what came meanwhile.
 pub const CATCH_UP: Micros = 5_000;
 /// For so long after a stall what is read may have waited all through it.
--- a/crates/desk/tests/desk.rs
+++ b/crates/desk/tests/desk.rs
@@ -4,11 +4,11 @@
 use baydrift_call::{AttemptId, Final, LinkId, Refusal};
 use baydrift_config::Config;
 use baydrift_desk::{
-    code_of, end_of, number_of, Boot, Desk, DeskInput, DeskOutput, Doors, Kind, Opened, PoolEntry, PoolError,
-    PoolList, Table, Transit,
+    code_of, end_of, local, number_of, Asked, Boot, Desk, DeskInput, DeskOutput, Doors, Kind, LinkOutput,
+    Opened, PoolEntry, PoolError, PoolList, ServerLink, Table, Transit,
 };
 use baydrift_diameter::credit::{self, Ccr, Ends, RequestType};
-use baydrift_diameter::{code, dict, load, result, Avp, Local, Message, Remote};
+use baydrift_diameter::{code, dict, load, result, Avp, Frame, Local, Message, PeerInput, Remote, Side};
 
 fn config() -> Config {
     let text = r#"
@@ -63,7 +63,7 @@
 
     fn set_up(&mut self, session: &str) -> (u64, AttemptId, Message) {
         match &self.ask(ccr(session, RequestType::Initial))[..] {
-            [DeskOutput::ToServer { server, attempt, kind: Kind::SetUp, message }] => {
+            [DeskOutput::ToServer { server, attempt, kind: Kind::SetUp, message, .. }] => {
                 (*server, *attempt, message.clone())
             }
             other => panic!("{other:?}"),
@@ -126,6 +126,52 @@
     assert_eq!(codes, [result::SUCCESS, result::TOO_BUSY, result::UNABLE_TO_COMPLY]);
 }
 
+/// A link to server 1 that is up.
+fn link_up(config: &Config) -> ServerLink {
+    let server = config.servers.iter().find(|server| server.number == 1).expect("it is configured");
+    let ours = local(config, [127, 0, 0, 1].into(), 1);
+    let mut link = ServerLink::new(server, ours, config.watchdog, 1, 1);
+    let mut out = Vec::new();
+    link.handle(0, PeerInput::Start, &mut out);
+    link.handle(0, PeerInput::Connected, &mut out);
+    let cer = out.iter().find_map(|output| match output {
+        LinkOutput::Send(_, message) => Some(message.clone()),
+        _ => None,
+    });
+    let cer = cer.expect("a capabilities exchange");
+    let mut cea = Message::answer(&cer, result::SUCCESS)
+        .with(Avp::text(dict::ORIGIN_HOST, "s1.test"))
+        .with(Avp::text(dict::ORIGIN_REALM, "core.test"));
+    // The rest as the front said it of itself.
+    let origin = [dict::ORIGIN_HOST, dict::ORIGIN_REALM];
+    cea.avps.extend(cer.avps.iter().filter(|avp| !origin.contains(&avp.code)).cloned());
+    link.handle(0, PeerInput::Received(Side::Initiator, Frame::Good(cea)), &mut out);
+    assert!(link.side().is_some(), "{out:?}");
+    link
+}
+
+/// Guards against a set-up that goes out seconds late: the process stood still while it lay between desk and link.
+#[test]
+fn a_set_up_that_lay_through_a_standstill_is_not_sent_and_the_call_goes_on() {
+    let mut w = World::new();
+    let mut link = link_up(&config());
+    let (server, attempt, message) = w.set_up("c1.test;1");
+    assert_eq!(server, 1);
+    let request =
+        |link: &mut ServerLink, now, kind| link.request(now, 1_000, (attempt, kind), message.clone());
+    assert!(matches!(request(&mut link, 100_000, Kind::SetUp), Asked::Send(..)));
+    // What was set up is released however late.
+    assert!(matches!(request(&mut link, 4_500_000, Kind::Release), Asked::Send(..)));
+    let Asked::Stale(input) = request(&mut link, 102_000, Kind::SetUp) else { panic!("it was sent") };
+    assert_eq!(input, DeskInput::Unsent(attempt));
+    // It never left: the call has another attempt at once, under a name of its own, and nothing is released.
+    let out = w.hear(input);
+    let [DeskOutput::ToServer { attempt: next, kind: Kind::SetUp, .. }] = &out[..] else { panic!("{out:?}") };
+    assert_ne!(*next, attempt);
+    // Told twice, or of an attempt that is over: nothing.
+    assert_eq!(w.hear(DeskInput::Unsent(attempt)), []);
+}
+
 #[test]
 fn a_set_up_has_a_session_of_its_own_and_keeps_what_the_caller_said() {
     let mut w = World::new();
--- a/crates/desk/tests/differential.rs
+++ b/crates/desk/tests/differential.rs
@@ -110,7 +110,7 @@
         desk.hear(now, DeskInput::Tick, &mut out);
         for output in std::mem::take(&mut out) {
             match output {
-                DeskOutput::ToServer { server, attempt, kind, message } => {
+                DeskOutput::ToServer { server, attempt, kind, message, .. } => {
                     let answer = match kind {
                         Kind::SetUp => {
                             set_ups += 1;
--- a/crates/desk/tests/text.rs
+++ b/crates/desk/tests/text.rs
@@ -55,7 +55,7 @@
         self.desk.hear(self.now, DeskInput::Tick, &mut out);
         for output in out {
             match output {
-                DeskOutput::ToServer { server, attempt, kind, message } => {
+                DeskOutput::ToServer { server, attempt, kind, message, .. } => {
                     self.set_ups += usize::from(kind == Kind::SetUp);
                     self.asked.push((server, attempt, kind, message));
                 }
--- a/crates/emulator/src/front.rs
+++ b/crates/emulator/src/front.rs
@@ -9,8 +9,8 @@
 use baydrift_call::{EngineError, LinkId, Policy};
 use baydrift_config::Config;
 use baydrift_desk::{
-    local, Boot, ClientLink, Desk, DeskInput, DeskOutput, Doors, LinkOutput, PoolList, ServerLink, Stalls,
-    CATCH_UP,
+    local, Asked, Boot, ClientLink, Desk, DeskInput, DeskOutput, Doors, LinkOutput, PoolList, ServerLink,
+    Stalls, CATCH_UP,
 };
 use baydrift_diameter::{Frame, Local, Message, PeerInput, Side};
 use rand::Rng;
@@ -202,12 +202,15 @@
     }
 
     /// What the core sends to a server leaves its task's queue.
-    pub(crate) fn out_to_server(&mut self, output: DeskOutput, did: &mut Vec<Did>) {
+    pub(crate) fn out_to_server(&mut self, now: Micros, output: DeskOutput, did: &mut Vec<Did>) {
         let (server, message) = match output {
-            DeskOutput::ToServer { server, attempt, kind, message } => {
+            DeskOutput::ToServer { server, attempt, kind, message, at } => {
                 let Some(place) = self.place(server) else { return };
-                let asked = self.servers[place].link.request(attempt, kind, message);
-                (place, asked.map(|(_, message)| message))
+                match self.servers[place].link.request(now, at, (attempt, kind), message) {
+                    Asked::Send(_, message) => (place, Some(message)),
+                    Asked::Nowhere => (place, None),
+                    Asked::Stale(input) => return did.push(Did::Tell(input)),
+                }
             }
             DeskOutput::Reply { server, message } => {
                 let Some(place) = self.place(server) else { return };
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -855,7 +855,7 @@
             }
             DeskOutput::ToServer { server, .. } | DeskOutput::Reply { server, .. } => {
                 let Some(place) = self.fronts[front].place(server) else { return };
-                self.fronts[front].out_to_server(output, &mut did);
+                self.fronts[front].out_to_server(self.queue.now(), output, &mut did);
                 self.did(front, Node::ToServer(front, place), did);
             }
             DeskOutput::ToFarEnd(data) => {
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -45,8 +45,8 @@
 pub(crate) enum ToLink {
     /// Send as it is, or a request with a new id.
     Send(Message),
-    /// Send a request for an attempt.
-    Request(AttemptId, Kind, Message),
+    /// Send a request for an attempt, said at this time.
+    Request(Micros, (AttemptId, Kind), Message),
     /// Say good-bye.
     Stop,
 }
@@ -194,8 +194,8 @@
                         self.clients.remove(&link);
                     }
                 }
-                DeskOutput::ToServer { server, attempt, kind, message } => {
-                    send(&self.servers, server, ToLink::Request(attempt, kind, message));
+                DeskOutput::ToServer { server, attempt, kind, message, at } => {
+                    send(&self.servers, server, ToLink::Request(at, (attempt, kind), message));
                 }
                 DeskOutput::Text { link, text } => match (self.texts.get(&link), &self.datagrams) {
                     // A full queue closes a connection; a datagram is lost, as a network loses some.
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use baydrift_config::Server;
-use baydrift_desk::{DeskInput, LinkOutput, ServerLink};
+use baydrift_desk::{Asked, DeskInput, LinkOutput, ServerLink};
 use baydrift_diameter::{cause, Frame, Message, PeerInput, Side, StreamError};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -140,9 +140,14 @@
         let mut next = Some(first);
         for _ in 0..BURST {
             match next {
-                Some(ToLink::Request(attempt, kind, message)) => {
-                    let Some((side, message)) = self.peer.request(attempt, kind, message) else { return };
-                    self.send(side, message).await;
+                Some(ToLink::Request(at, what, message)) => {
+                    match self.peer.request(self.shared.clock.now(), at, what, message) {
+                        Asked::Send(side, message) => self.send(side, message).await,
+                        Asked::Nowhere => return,
+                        Asked::Stale(input) => {
+                            let _ = self.shared.core.send(ToCore::Desk(input)).await;
+                        }
+                    }
                 }
                 Some(ToLink::Send(message)) => {
                     if let Some(side) = self.peer.side() {
