Read once more: one way for fleet words, one trouble for short processes, looks read once

Written twice: framing and kinds of messages between fronts (shared.rs and engine/fleet.rs, now engine/fleet.rs alone, so that Shared::hear needs no option in an option), foca's act-and-take (four times in lives.rs), the reading of a process's table (child.rs: limit and used), kill and restart (course, schedule), a word for front 0 in five tests, seconds of an answer (circuits and fleet). More than needed: two troubles and a third type for descriptors and memory, now What::Starve; the end of one shortage lifted the other as well, now only its own. Work done again: the model of who lives looked each pair up in a list.

No assertion was changed.

--- a/crates/call/src/engine/fleet.rs
+++ b/crates/call/src/engine/fleet.rs
@@ -9,13 +9,15 @@
 use crate::timers::Timer;
 use crate::types::Output;
 
-/// First byte of a message between fronts that is of who lives; the module's own begin otherwise.
+/// First byte of a message between fronts that is of budgets; the module's own begin otherwise.
+const BUDGETS: u8 = 0xb0;
+/// The same of one that is of who lives.
 const LIVES: u8 = 0xf1;
 /// Words on who lives are said no more often than this.
 const LIVES_TURN: Micros = 10_000;
 
-fn told<P>((to, word): (u32, Vec<u8>)) -> Output<P> {
-    Output::Tell { to, payload: [&[LIVES][..], &word].concat() }
+fn tell<P>(kind: u8, to: u32, word: &[u8]) -> Output<P> {
+    Output::Tell { to, payload: [&[kind], word].concat() }
 }
 
 impl<P: Clone> Engine<P> {
@@ -30,7 +32,7 @@
         let lives = self.lives.as_ref();
         let may_live = |ordinal| lives.is_none_or(|lives| lives.may_live(ordinal));
         let Beat { words, shares } = shared.beat(self.now, &self.pool.temperatures(self.now), may_live);
-        out.extend(words.into_iter().map(|(to, payload)| Output::Tell { to, payload }));
+        out.extend(words.iter().map(|(to, word)| tell(BUDGETS, *to, word)));
         self.events.extend(shares.into_iter().map(|(server, per_s)| Event::Share { server, per_s }));
         self.timers.set(self.now.saturating_add(BEAT), Timer::Budgets);
     }
@@ -52,33 +54,34 @@
     }
 
     pub(super) fn tell_lives(&mut self, out: &mut Vec<Output<P>>) {
-        let Some(lives) = self.lives.as_mut() else { return };
-        let words = lives.beat(self.now);
+        self.say_who_lives(out);
+        let Some(lives) = self.lives.as_ref() else { return };
         // Once woken for each turn: what is due sooner after a word from outside waits for it.
         self.timers.set(lives.next_wake().clamp(self.now + LIVES_TURN, self.now + BEAT), Timer::Lives);
-        out.extend(words.into_iter().map(told));
+    }
+
+    fn say_who_lives(&mut self, out: &mut Vec<Output<P>>) {
+        let words = self.lives.as_mut().map(|lives| lives.beat(self.now)).unwrap_or_default();
+        out.extend(words.iter().map(|(to, word)| tell(LIVES, *to, word)));
     }
 
     /// A word on who lives: what is answered leaves at once, since a probe waits for it.
     fn hear_lives(&mut self, from: u32, word: &[u8], out: &mut Vec<Output<P>>) {
         let Some(lives) = self.lives.as_mut() else { return };
-        if let Err(fault) = lives.hear(self.now, from, word) {
-            out.push(Output::Log(format!("a word of front {from} on who lives: {fault}")));
-            return;
+        match lives.hear(self.now, from, word) {
+            Ok(()) => self.say_who_lives(out),
+            Err(fault) => out.push(Output::Log(format!("a word of front {from} on who lives: {fault}"))),
         }
-        let words = lives.beat(self.now);
-        out.extend(words.into_iter().map(told));
     }
 
     /// A message of another front: of who lives, of budgets, or the module's.
     pub(super) fn peer(&mut self, from: u32, payload: Vec<u8>, out: &mut Vec<Output<P>>) {
-        if let Some((&LIVES, word)) = payload.split_first() {
-            return self.hear_lives(from, word, out);
-        }
-        let shared = self.shared.as_mut();
-        match shared.and_then(|shared| shared.hear(self.now, from, &payload)) {
-            Some(answer) => out.extend(answer.map(|payload| Output::Tell { to: from, payload })),
-            None => self.events.push_back(Event::Peer { from, payload }),
+        match (payload.split_first(), self.shared.as_mut()) {
+            (Some((&LIVES, word)), _) => self.hear_lives(from, word, out),
+            (Some((&BUDGETS, word)), Some(shared)) => {
+                out.extend(shared.hear(self.now, from, word).map(|answer| tell(BUDGETS, from, &answer)));
+            }
+            _ => self.events.push_back(Event::Peer { from, payload }),
         }
     }
 }
--- a/crates/call/src/shared.rs
+++ b/crates/call/src/shared.rs
@@ -5,8 +5,6 @@
 use baydrift::interface::{Micros, ServerId};
 use baydrift_budget::{BudgetId, Escrow, Holdings, Seeker, Seeking, Share, Terms, Word};
 
-/// First byte of a message between fronts that is of budgets; the module's own begin otherwise.
-const BUDGETS: u8 = 0xb0;
 /// The window of the budgets' usual terms: so many set-ups a second are so many units.
 const WINDOW: Micros = 1_000_000;
 /// The engine wakes so often for it, which is within the longest step.
@@ -44,7 +42,7 @@
 /// What a beat brings.
 #[derive(Debug, Default)]
 pub(crate) struct Beat {
-    /// Messages to other fronts.
+    /// Words to other fronts.
     pub(crate) words: Vec<(u32, Vec<u8>)>,
     /// What the module is to know: set-ups a second that are this front's part of a server's.
     pub(crate) shares: Vec<(ServerId, f64)>,
@@ -100,14 +98,13 @@
         self.hand(now, server).escrow.spend(now)
     }
 
-    /// A message of another front, if it is of budgets: what to answer, and the module hears nothing.
-    pub(crate) fn hear(&mut self, now: Micros, from: u32, payload: &[u8]) -> Option<Option<Vec<u8>>> {
-        let (BUDGETS, word) = payload.split_first().map(|(first, rest)| (*first, rest))? else { return None };
-        let Ok(word) = Word::read(word) else { return Some(None) };
+    /// A word of another front: what to answer, if anything.
+    pub(crate) fn hear(&mut self, now: Micros, from: u32, word: &[u8]) -> Option<Vec<u8>> {
+        let word = Word::read(word).ok()?;
         // Hands are of servers that this front knows: others' words make none.
-        let Some(hand) = self.hands.get_mut(&word.budget().0) else { return Some(None) };
+        let hand = self.hands.get_mut(&word.budget().0)?;
         let reserve = hand.seeker.reserve(now, &hand.escrow);
-        Some(hand.escrow.hear(now, from, &word, reserve).map(framed))
+        hand.escrow.hear(now, from, &word, reserve).map(|answer| answer.write())
     }
 
     /// Time passes: what to say, to whom, and what the module is to know. `servers` are all that this front knows, each with
@@ -129,7 +126,7 @@
             let Hand { escrow, seeker, told } = self.hand(now, *server);
             seeker.demands(now, if *ready && *cold { each } else { 0.0 }, escrow);
             let said = seeker.words(now, escrow, &may_live);
-            beat.words.extend(said.into_iter().map(|(to, word)| (to, framed(word))));
+            beat.words.extend(said.into_iter().map(|(to, word)| (to, word.write())));
             // A process that starts is a new server to the module: it is told anew.
             let tells = Told { here: escrow.holdings().here(), ready: *ready, cold: *cold };
             if *told != Some(tells) {
@@ -140,7 +137,3 @@
         beat
     }
 }
-
-fn framed(word: Word) -> Vec<u8> {
-    [&[BUDGETS][..], &word.write()].concat()
-}
--- a/crates/cli/src/circuits.rs
+++ b/crates/cli/src/circuits.rs
@@ -26,7 +26,8 @@
     of[key].as_str().unwrap_or("?")
 }
 
-fn seconds(ms: &Value) -> String {
+/// Milliseconds of an answer, in seconds.
+pub(crate) fn seconds(ms: &Value) -> String {
     ms.as_u64().map_or("never".into(), |ms| format!("{:.1}", ms as f64 / 1e3))
 }
 
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -7,6 +7,8 @@
 use miette::IntoDiagnostic;
 use serde_json::Value;
 
+use crate::circuits::seconds;
+
 #[derive(clap::Args)]
 pub struct Args {
     /// The front's operators' socket, as its configuration names it.
@@ -16,22 +18,17 @@
     json: bool,
 }
 
-fn seconds(ms: &Value) -> f64 {
-    ms.as_u64().unwrap_or(0) as f64 / 1e3
-}
-
 /// Who lives, in lines.
 fn lives(lives: &Value) -> Vec<String> {
     if lives.is_null() {
         return vec!["who lives is not told: fleet lives=#true in its configuration".to_owned()];
     }
-    let relied = match (lives["age_ms"].as_u64(), lives["learns"] == true) {
-        (None, _) => "it has heard nobody yet".to_owned(),
-        (Some(ms), learns) => format!(
-            "newest word {:.1} s ago{}",
-            ms as f64 / 1e3,
-            if learns { "; it has just started or stood still, and learns" } else { "" }
-        ),
+    let relied = if lives["age_ms"].is_null() {
+        "it has heard nobody yet".to_owned()
+    } else {
+        let learns = lives["learns"] == true;
+        let learns = if learns { "; it has just started or stood still, and learns" } else { "" };
+        format!("newest word {} s ago{learns}", seconds(&lives["age_ms"]))
     };
     let mut lines = vec![format!(
         "front {}: {} of {} believed alive, {} ever heard of; {relied}",
@@ -39,7 +36,7 @@
     )];
     for member in lives["members"].as_array().into_iter().flatten() {
         lines.push(format!(
-            "  front {:>5}  {:<5} for {:>8.1} s  incarnation {}",
+            "  front {:>5}  {:<5} for {:>8} s  incarnation {}",
             member["ordinal"].to_string(),
             if member["alive"] == true { "alive" } else { "down" },
             seconds(&member["for_ms"]),
--- a/crates/day/src/course.rs
+++ b/crates/day/src/course.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cast::usual;
-use crate::script::{Day, Party, Start, Trouble, What};
+use crate::script::{Day, Party, Start, Starved, Trouble, What};
 
 /// What servers the list service knows, and since when; it reaches fronts later.
 pub(crate) type Pool = Vec<(Listed, Option<Micros>)>;
@@ -62,24 +62,6 @@
     Reset { server: usize },
 }
 
-/// What a process runs short of.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Starved {
-    /// File descriptors that it may hold.
-    Descriptors(u64),
-    /// Bytes that it may take beyond those that it holds.
-    Memory(u64),
-}
-
-fn starve(what: &What, starved: bool, hands: &mut impl Hands) {
-    let (front, of) = match *what {
-        What::Descriptors { front, most } => (front, Starved::Descriptors(most)),
-        What::Memory { front, more } => (front, Starved::Memory(more)),
-        _ => return,
-    };
-    hands.process(Process::Starve { front, of, starved });
-}
-
 /// What is still to be done.
 enum Then {
     Begin(Trouble),
@@ -220,15 +202,14 @@
                 self.offers(hands, |offers| offers.flood = Some((*publisher, *factor)))
             }
             What::MessagesLost { share } => hands.lose_messages(*share),
-            What::Kill { front, back_after, start } => {
+            What::Kill { front, back_after, start } | What::Restart { front, back_after, start } => {
+                let kill = matches!(what, What::Kill { .. });
                 let (front, back_after, start) = (*front, *back_after, *start);
-                hands.process(Process::Stop { front, kill: true, back_after, start });
+                hands.process(Process::Stop { front, kill, back_after, start });
             }
-            What::Restart { front, back_after, start } => {
-                let (front, back_after, start) = (*front, *back_after, *start);
-                hands.process(Process::Stop { front, kill: false, back_after, start });
+            What::Starve { front, of } => {
+                hands.process(Process::Starve { front: *front, of: *of, starved: true });
             }
-            What::Descriptors { .. } | What::Memory { .. } => starve(what, true, hands),
             What::Crashing { front, times } => hands.process(Process::Crash { front: *front, times: *times }),
             What::Freeze { server } => hands.process(Process::Freeze { server: *server, frozen: true }),
             What::Reset { server } => hands.process(Process::Reset { server: *server }),
@@ -253,7 +234,9 @@
             What::Hot { .. } => self.offers(hands, |offers| offers.hot = 0.0),
             What::Flood { .. } => self.offers(hands, |offers| offers.flood = None),
             What::MessagesLost { .. } => hands.lose_messages(0.0),
-            What::Descriptors { .. } | What::Memory { .. } => starve(what, false, hands),
+            What::Starve { front, of } => {
+                hands.process(Process::Starve { front: *front, of: *of, starved: false });
+            }
             What::Freeze { server } => hands.process(Process::Freeze { server: *server, frozen: false }),
             What::Sever { from, to, one_way } => self.sever(from, to, *one_way, false, hands),
             What::Redials { .. } => {
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -26,6 +26,7 @@
 pub use run::{run, Outcome};
 pub use schedule::{schedule_text, Shorten};
 pub use script::{
-    parse, parse_troubles, Bounds, Class, Day, Party, Policy, Publisher, Servers, Trouble, What,
+    parse, parse_troubles, Bounds, Class, Day, Party, Policy, Publisher, Servers, Start, Starved, Trouble,
+    What,
 };
 pub use table::{sums_table, table};
--- a/crates/day/src/processes/child.rs
+++ b/crates/day/src/processes/child.rs
@@ -18,8 +18,8 @@
 use tokio::process::{ChildStdin, ChildStdout, Command};
 use tokio::sync::watch;
 
-use crate::course::Starved;
 use crate::error::DayError;
+use crate::script::Starved;
 
 /// The program that plays all parts of a day.
 #[derive(Debug, Clone)]
@@ -120,38 +120,35 @@
         self.signal(if frozen { Signal::STOP } else { Signal::CONT });
     }
 
-    /// What it may hold from now on; `None` lifts both limits. By its number, which is its own until it is reaped here.
-    pub(crate) fn limit(&self, of: Option<Starved>) -> std::io::Result<()> {
+    /// It may hold no more than this from now on, or as much as it was started with. By its number, which is its own until
+    /// it is reaped here.
+    pub(crate) fn limit(&self, of: Starved, starved: bool) -> std::io::Result<()> {
         if !self.runs() {
             return Ok(());
         }
-        // It was started with the driver's own limits; the hard ones stay, since only root raises them again.
-        let set = |resource, most: Option<u64>| {
-            let own = getrlimit(resource);
-            let current =
-                most.map_or(own.current, |most| Some(own.maximum.map_or(most, |hard| most.min(hard))));
-            prlimit(Some(self.pid), resource, Rlimit { current, ..own }).map(drop)
+        let (resource, most) = match of {
+            Starved::Descriptors(most) => (Resource::Nofile, most),
+            Starved::Memory(more) => (Resource::Data, self.holds("VmData:").unwrap_or(0) + more),
         };
-        match of {
-            Some(Starved::Descriptors(most)) => set(Resource::Nofile, Some(most))?,
-            Some(Starved::Memory(more)) => {
-                set(Resource::Data, Some(self.holds("VmData:").unwrap_or(0) + more))?
-            }
-            None => {
-                set(Resource::Data, None)?;
-                set(Resource::Nofile, None)?;
-            }
-        }
+        // It was started with the driver's own limits; the hard one stays, since only root raises it again.
+        let own = getrlimit(resource);
+        let current =
+            if starved { Some(own.maximum.map_or(most, |hard| most.min(hard))) } else { own.current };
+        prlimit(Some(self.pid), resource, Rlimit { current, ..own })?;
         Ok(())
     }
 
     /// A figure of the system's table on it, in bytes.
     fn holds(&self, what: &str) -> Option<u64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid.as_raw_nonzero())).ok()?;
+        let status = self.table("status")?;
         let line = status.lines().find_map(|line| line.strip_prefix(what))?;
         Some(line.split_whitespace().next()?.parse::<u64>().ok()? * 1_024)
     }
 
+    fn table(&self, what: &str) -> Option<String> {
+        std::fs::read_to_string(format!("/proc/{}/{what}", self.pid.as_raw_nonzero())).ok()
+    }
+
     pub(crate) fn runs(&self) -> bool {
         self.ended.borrow().is_none()
     }
@@ -175,9 +172,7 @@
 
     /// What it has used: the share of a core since it started, and its memory at most, in MB. `None` once it has ended.
     pub(crate) fn used(&self) -> Option<(f64, f64)> {
-        let of =
-            |what: &str| std::fs::read_to_string(format!("/proc/{}/{what}", self.pid.as_raw_nonzero())).ok();
-        let (stat, status) = (of("stat")?, of("status")?);
+        let (stat, most) = (self.table("stat")?, self.holds("VmHWM:")?);
         if !self.runs() {
             return None;
         }
@@ -185,9 +180,8 @@
         let fields: Vec<_> = stat.rsplit_once(')')?.1.split_whitespace().collect();
         let ticks = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
         let cpu = ticks / rustix::param::clock_ticks_per_second() as f64;
-        let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
-        let kb = most.split_whitespace().next()?.parse::<f64>().ok()?;
-        Some((cpu / self.started.elapsed().as_secs_f64().max(1e-3), kb / 1e3))
+        // In MB of a thousand of the table's own kB.
+        Some((cpu / self.started.elapsed().as_secs_f64().max(1e-3), most as f64 / 1_024e3))
     }
 
     /// Why it ended, where nobody asked it to.
--- a/crates/day/src/processes/stage.rs
+++ b/crates/day/src/processes/stage.rs
@@ -19,9 +19,9 @@
 use super::role::{Hello, Order, Role, Word};
 use super::{Cast, ENDS_WITHIN, STARTS_WITHIN};
 use crate::cast::Places;
-use crate::course::{Hands, Pool, Process, Starved, SERVES_FOR};
+use crate::course::{Hands, Pool, Process, SERVES_FOR};
 use crate::error::DayError;
-use crate::script::{Party, Start as NextStart};
+use crate::script::{Party, Start as NextStart, Starved};
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -288,7 +288,7 @@
     /// A front's process runs short of something, or no more. One that ends of it ended by itself.
     fn starve(&mut self, front: usize, of: Starved, starved: bool) {
         let Some(child) = self.front(front) else { return };
-        if let Err(error) = child.limit(starved.then_some(of)) {
+        if let Err(error) = child.limit(of, starved) {
             lock(&self.faults).push(format!("{}: its limit cannot be set: {error}", child.name));
         }
     }
--- a/crates/day/src/schedule.rs
+++ b/crates/day/src/schedule.rs
@@ -4,7 +4,7 @@
 
 use baydrift::interface::Micros;
 
-use crate::script::{Party, Start, Trouble, What};
+use crate::script::{Party, Start, Starved, Trouble, What};
 
 /// The troubles as a script says them, one a line, to the microsecond: read again, they are the same.
 pub fn schedule_text(troubles: &[Trouble]) -> String {
@@ -42,14 +42,16 @@
         What::ListLag { lag } => format!("list-lag lag=\"{lag}us\""),
         What::MessagesLost { share } => format!("messages-lost share={share:?}"),
         What::Flood { publisher, factor } => format!("flood publisher={publisher} factor={factor:?}"),
-        What::Kill { front, back_after, start } => {
-            format!("kill front={front}{}{}", back(back_after), started(start))
+        What::Kill { front, back_after, start } | What::Restart { front, back_after, start } => {
+            let name = if matches!(what, What::Kill { .. }) { "kill" } else { "restart" };
+            format!("{name} front={front}{}{}", back(back_after), started(start))
         }
-        What::Restart { front, back_after, start } => {
-            format!("restart front={front}{}{}", back(back_after), started(start))
+        What::Starve { front, of: Starved::Descriptors(most) } => {
+            format!("descriptors front={front} most={most}")
+        }
+        What::Starve { front, of: Starved::Memory(more) } => {
+            format!("memory front={front} more-kb={}", more >> 10)
         }
-        What::Descriptors { front, most } => format!("descriptors front={front} most={most}"),
-        What::Memory { front, more } => format!("memory front={front} more-kb={}", more >> 10),
         What::Crashing { front, times } => format!("crashing front={front} times={times}"),
         What::Freeze { server } => format!("freeze server={server}"),
         What::Reset { server } => format!("reset server={server}"),
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -209,6 +209,15 @@
     pub clock_off: i64,
 }
 
+/// What a process runs short of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Starved {
+    /// File descriptors that it may hold, its own among them.
+    Descriptors(u64),
+    /// Bytes that it may take beyond those that it holds.
+    Memory(u64),
+}
+
 /// Kinds of trouble.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[allow(missing_docs)]
@@ -284,15 +293,10 @@
         back_after: Option<Micros>,
         start: Start,
     },
-    /// A front's process may hold so many file descriptors, its own among them.
-    Descriptors {
+    /// A front's process runs short of something. One that ends of that has failed.
+    Starve {
         front: usize,
-        most: u64,
-    },
-    /// A front's process may take so many bytes more than it holds. One that ends of that has failed.
-    Memory {
-        front: usize,
-        more: u64,
+        of: Starved,
     },
     /// A front that is killed so many times, each time soon after it served again.
     Crashing {
@@ -453,8 +457,7 @@
             | Self::Stall { front }
             | Self::Kill { front, .. }
             | Self::Restart { front, .. }
-            | Self::Descriptors { front, .. }
-            | Self::Memory { front, .. }
+            | Self::Starve { front, .. }
             | Self::Crashing { front, .. } => vec![Party::Front(*front)],
             Self::Sever { from, to, .. } => from.iter().chain(to).copied().collect(),
             _ => Vec::new(),
@@ -479,8 +482,7 @@
             self,
             Self::Kill { .. }
                 | Self::Restart { .. }
-                | Self::Descriptors { .. }
-                | Self::Memory { .. }
+                | Self::Starve { .. }
                 | Self::Crashing { .. }
                 | Self::Freeze { .. }
                 | Self::Sever { .. }
@@ -652,8 +654,7 @@
         let what = match trouble.what.clone() {
             What::Kill { back_after, start, .. } => What::Kill { front, back_after, start },
             What::Restart { back_after, start, .. } => What::Restart { front, back_after, start },
-            What::Descriptors { most, .. } => What::Descriptors { front, most },
-            What::Memory { more, .. } => What::Memory { front, more },
+            What::Starve { of, .. } => What::Starve { front, of },
             What::Stall { .. } => What::Stall { front },
             What::Reconnect { .. } => What::Reconnect { front },
             What::Crashing { times, .. } => What::Crashing { front, times },
@@ -721,12 +722,13 @@
         "messages-lost" => What::MessagesLost { share: share() },
         "kill" => What::Kill { front: front(), back_after: back_after(), start: read_start(node) },
         "restart" => What::Restart { front: front(), back_after: back_after(), start: read_start(node) },
-        "descriptors" => What::Descriptors {
-            front: front(),
-            most: node.whole("most", 8..=1_000_000).unwrap_or(DESCRIPTORS),
-        },
+        "descriptors" => {
+            let most = node.whole("most", 8..=1_000_000).unwrap_or(DESCRIPTORS);
+            What::Starve { front: front(), of: Starved::Descriptors(most) }
+        }
         "memory" => {
-            What::Memory { front: front(), more: node.whole("more-kb", 0..=1 << 30).unwrap_or(0) << 10 }
+            let more = node.whole("more-kb", 0..=1 << 30).unwrap_or(0) << 10;
+            What::Starve { front: front(), of: Starved::Memory(more) }
         }
         "crashing" => {
             What::Crashing { front: front(), times: node.whole("times", 1..=20).unwrap_or(3) as u32 }
--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -311,14 +311,12 @@
         if config.pool.is_some() {
             engine.awaits_list(0);
         }
-        let units =
-            config.limits.cold_rate.filter(|_| config.fleet.as_ref().is_some_and(|fleet| fleet.lends));
-        if let Some(units) = units {
-            let (fronts, ordinal) = (config.settings.fronts, config.settings.ordinal);
+        let (fronts, ordinal) = (config.settings.fronts, config.settings.ordinal);
+        let fleet = config.fleet.as_ref();
+        if let Some(units) = config.limits.cold_rate.filter(|_| fleet.is_some_and(|fleet| fleet.lends)) {
             engine.shares(Sharing { units: units as u32, fronts, ordinal, incarnation: boot.incarnation });
         }
-        if config.fleet.as_ref().is_some_and(|fleet| fleet.lives) {
-            let (fronts, ordinal) = (config.settings.fronts, config.settings.ordinal);
+        if fleet.is_some_and(|fleet| fleet.lives) {
             let (incarnation, seed) = (boot.state_id, boot.incarnation);
             engine.learns_who_lives(baydrift_fleet::Spec { ordinal, fronts, incarnation, seed });
         }
--- a/crates/emulator/src/lives.rs
+++ b/crates/emulator/src/lives.rs
@@ -225,16 +225,13 @@
         let (mut right, mut all) = (0_u64, 0_u64);
         for (front, at) in self.fronts.iter().enumerate() {
             let Some(lives) = at.lives.as_ref().filter(|_| heard(at)) else { continue };
-            let mut believed = vec![false; runs.len()];
-            lives.members().filter(|(_, alive, _)| *alive).for_each(|(member, ..)| {
-                believed[member.ordinal as usize] = true;
-            });
+            let mut believed = vec![None; runs.len()];
+            lives.members().for_each(|(member, alive, _)| believed[member.ordinal as usize] = Some(alive));
             for other in (0..runs.len()).filter(|other| *other != front) {
                 all += 1;
-                right += u64::from(believed[other] == runs[other]);
+                right += u64::from((believed[other] == Some(true)) == runs[other]);
                 let reached = runs[other] && heard(&self.fronts[other]) && now >= self.parted.1;
-                let known = lives.members().any(|(member, ..)| member.ordinal as usize == other);
-                self.tally.wronged += u64::from(reached && known && !believed[other]);
+                self.tally.wronged += u64::from(reached && believed[other] == Some(false));
             }
         }
         let share = if all == 0 { 1.0 } else { right as f64 / all as f64 };
--- a/crates/fleet/src/lives.rs
+++ b/crates/fleet/src/lives.rs
@@ -61,6 +61,7 @@
 }
 
 type Swim = Foca<Member, Wire, Pcg64Mcg, NoCustomBroadcast>;
+type Said = AccumulatingRuntime<Member>;
 
 /// Which fronts live, as one of them believes.
 pub struct Lives {
@@ -156,10 +157,7 @@
         if header.src.ordinal != from {
             return Err(Fault::Sender(header.src.ordinal));
         }
-        let mut said = AccumulatingRuntime::new();
-        let heard = self.foca.handle_data(datagram, &mut said);
-        self.take(said);
-        match heard {
+        match self.act(|foca, said| foca.handle_data(datagram, said)) {
             Ok(()) => self.heard_at = Some(self.now),
             Err(Error::Decode(_) | Error::MalformedPacket | Error::DataTooBig) => {
                 return Err(Fault::Unreadable)
@@ -175,10 +173,8 @@
         self.pass(now);
         while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= self.now) {
             let timer = entry.remove();
-            let mut said = AccumulatingRuntime::new();
             // A timer of a probe that is over, or of a member that is gone, does nothing.
-            let _ = self.foca.handle_timer(timer, &mut said);
-            self.take(said);
+            let _ = self.act(|foca, said| foca.handle_timer(timer, said));
         }
         if self.now >= self.join_at {
             self.join();
@@ -202,10 +198,8 @@
             return;
         }
         let ordinal = unknown[self.rng.next_u32() as usize % unknown.len()];
-        let mut said = AccumulatingRuntime::new();
         // Whatever process is there now takes it.
-        let _ = self.foca.announce(Member { ordinal, incarnation: 0 }, &mut said);
-        self.take(said);
+        let _ = self.act(|foca, said| foca.announce(Member { ordinal, incarnation: 0 }, said));
     }
 
     /// What is believed now.
@@ -248,7 +242,10 @@
         self.now = self.now.max(now);
     }
 
-    fn take(&mut self, mut said: AccumulatingRuntime<Member>) {
+    /// Has foca do something, and takes what comes of it: words, timers, news.
+    fn act(&mut self, what: impl FnOnce(&mut Swim, &mut Said) -> Result<(), Error>) -> Result<(), Error> {
+        let mut said = Said::new();
+        let done = what(&mut self.foca, &mut said);
         while let Some((to, datagram)) = said.to_send() {
             self.words.push((to.ordinal, datagram.to_vec()));
         }
@@ -265,6 +262,7 @@
                 _ => {}
             }
         }
+        done
     }
 
     fn believe(&mut self, member: Member, alive: bool) {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -57,7 +57,7 @@
 /// foca's codec, behind checks.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Wire {
-    pub(crate) fronts: u32,
+    fronts: u32,
     /// Incarnations beyond it are noise.
     most: u32,
 }
--- a/crates/fleet/tests/lives.rs
+++ b/crates/fleet/tests/lives.rs
@@ -30,6 +30,12 @@
     now
 }
 
+/// The next word that a front says to front 0, asked for one so often from a time on.
+fn word_to_zero(front: &mut Lives, from: u64, every: u64) -> Vec<u8> {
+    let said = (0..400).find_map(|n| front.beat(from + n * every).into_iter().find(|(to, _)| *to == 0));
+    said.expect("a word").1
+}
+
 fn alive(front: &Lives) -> Vec<Member> {
     front.members().filter(|(_, alive, _)| *alive).map(|(member, ..)| member).collect()
 }
@@ -41,9 +47,7 @@
     let [zero, one] = &mut fronts;
     let before = (zero.view(now), alive(zero));
     // A word to this front, as its sender said it.
-    let (_, word) = (0..200)
-        .find_map(|n| one.beat(now + n * 10_000).into_iter().find(|(to, _)| *to == 0))
-        .expect("a word");
+    let word = word_to_zero(one, now, 10_000);
     assert_eq!(zero.hear(now, 2, &word), Err(Fault::Sender(1)));
     assert_eq!(zero.hear(now, 1, &[]), Err(Fault::Unreadable));
     assert_eq!(zero.hear(now, 1, &[0xff; 40]), Err(Fault::Unreadable));
@@ -51,11 +55,11 @@
     // Of a fleet that has more fronts, and of a process whose incarnation nobody can reach.
     let stranger = Spec { ordinal: 7, fronts: 8, incarnation: 100, seed: 1 };
     let mut stranger = Lives::new(Terms::default(), stranger, S);
-    let said = (0..400).find_map(|n| stranger.beat(S + n * 100_000).into_iter().find(|(to, _)| *to == 0));
-    assert_eq!(zero.hear(now, 7, &said.expect("a word").1), Err(Fault::Stranger(7)));
+    let said = word_to_zero(&mut stranger, S, 100_000);
+    assert_eq!(zero.hear(now, 7, &said), Err(Fault::Stranger(7)));
     let mut ahead = front(1, u32::MAX - 5);
-    let said = (0..400).find_map(|n| ahead.beat(S + n * 100_000).into_iter().find(|(to, _)| *to == 0));
-    assert_eq!(zero.hear(now, 1, &said.expect("a word").1), Err(Fault::Ahead(u32::MAX - 5)));
+    let said = word_to_zero(&mut ahead, S, 100_000);
+    assert_eq!(zero.hear(now, 1, &said), Err(Fault::Ahead(u32::MAX - 5)));
     assert_eq!((zero.view(now), alive(zero)), before);
 }
 
@@ -64,8 +68,7 @@
     let mut fronts = [front(0, 100), front(1, 100), front(2, 100)];
     let now = talk(&mut fronts, S, 5 * S);
     let [zero, one, _] = &mut fronts;
-    let said = (0..400).find_map(|n| one.beat(now + n * 10_000).into_iter().find(|(to, _)| *to == 0));
-    let (_, word) = said.expect("a word");
+    let word = word_to_zero(one, now, 10_000);
     let mut answers = 0;
     for _ in 0..100 {
         assert_eq!(zero.hear(now, 1, &word), Ok(()));
@@ -86,8 +89,8 @@
     fronts.push(Lives::new(Terms::default(), spec, now));
     let now = talk(&mut fronts, now, now + 5 * S);
     assert!(alive(&fronts[0]).contains(&Member { ordinal: 1, incarnation: 150 }));
-    let late = (0..400).find_map(|n| old.beat(now + n * 10_000).into_iter().find(|(to, _)| *to == 0));
-    assert_eq!(fronts[0].hear(now, 1, &late.expect("a word").1), Ok(()));
+    let late = word_to_zero(&mut old, now, 10_000);
+    assert_eq!(fronts[0].hear(now, 1, &late), Ok(()));
     assert!(alive(&fronts[0]).contains(&Member { ordinal: 1, incarnation: 150 }), "{:?}", alive(&fronts[0]));
 }
 
