A repeat begins within its class's window; a stop fails what may not run twice

Seen in the code, and shown by the tests before the change: after_failure checks a keyed class's window when it decides (policy.rs, 'again'), and the set-up leaves later: after the guard, after a pace, after a standstill, or when a late connection comes up. With a window of 0.6 s a resend went out 0.66 s after the first. Engine::stop answered 'refused', which says that trying again is harmless, also for a call of a class that must not run twice and was out.

Engine::stop fails a call of such a class that was sent. Tests: tests/rules.rs a_repeat_within_a_window_..., crates/call/tests/calls.rs a_stop_fails_...; both fail without the change.

--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use baydrift::interface::{
-    Action, Belief, Call, CallId, Entry, Event, ListKind, Micros, Note, Outcome, Report, ServerId,
+    Action, Belief, Call, CallId, Entry, Event, ListKind, Micros, Note, Outcome, Repeat, Report, ServerId,
     ServerState, Settings, SettingsError,
 };
 use baydrift::Controller;
@@ -163,6 +163,8 @@
     orphans: Orphans,
     orphans_at: Option<Micros>,
     timers: Timers,
+    /// By class: whether its calls must not be set up twice.
+    once: Vec<bool>,
     next_call: u64,
     next_attempt: u64,
     events: VecDeque<Event>,
@@ -199,6 +201,7 @@
         }
         Ok(Self {
             guard: Guard::new(&settings, limits.grace, limits.cold_rate),
+            once: settings.classes.iter().map(|class| class.repeat == Repeat::Never).collect(),
             pool: Pool::new(settings.ramp_time, limits.servers),
             policy,
             now: 0,
@@ -382,7 +385,9 @@
 
     fn act(&mut self, action: Action, out: &mut Vec<Output<P>>) {
         match action {
-            Action::Send { call, server, timeout } => self.send(call, server, timeout, out),
+            Action::Send { call, server, timeout, begin_within } => {
+                self.send(call, server, (timeout, begin_within), out);
+            }
             Action::Refuse { call, retry_after } => {
                 self.answer_decided(call, Final::Refused { retry_after, why: Refusal::Decided }, out);
             }
@@ -402,7 +407,13 @@
         }
     }
 
-    fn send(&mut self, id: CallId, server: ServerId, timeout: Micros, out: &mut Vec<Output<P>>) {
+    fn send(
+        &mut self,
+        id: CallId,
+        server: ServerId,
+        (timeout, begin_within): (Micros, Micros),
+        out: &mut Vec<Output<P>>,
+    ) {
         let now = self.now;
         let Some(held) = self.calls.get_mut(&id) else {
             return self.guard.count(Breach::Answered);
@@ -449,7 +460,18 @@
         }
         self.timers.set(now.saturating_add(timeout), Timer::Attempt(attempt));
         self.counts.set_ups += 1;
-        out.push(Output::SetUp { attempt, server, call: id, index, class, timeout, session, payload });
+        let call = id;
+        out.push(Output::SetUp {
+            attempt,
+            server,
+            call,
+            index,
+            class,
+            timeout,
+            begin_within,
+            session,
+            payload,
+        });
     }
 
     /// A set-up that was never sent ends at once.
@@ -1090,8 +1112,12 @@
         let undecided = |held: &Held<P>| !matches!(held.phase, Phase::Standing(_));
         let ids: Vec<_> = self.calls.iter().filter(|(_, held)| undecided(held)).map(|(id, _)| *id).collect();
         for id in ids {
+            // Guards against word that trying again is harmless for a call that may run already and must not run twice.
+            let never = |held: &Held<P>| self.once.get(held.class).is_some_and(|once| *once);
+            let sent = self.calls.get(&id).is_some_and(|held| held.sent > 0 && never(held));
+            let refused = Final::Refused { retry_after: 0, why: Refusal::Stopping };
             self.abandoned(id);
-            self.answer(id, Final::Refused { retry_after: 0, why: Refusal::Stopping }, out);
+            self.answer(id, if sent { Final::Failed } else { refused }, out);
         }
     }
 }
--- a/crates/call/src/types.rs
+++ b/crates/call/src/types.rs
@@ -274,6 +274,8 @@
         class: usize,
         /// It is given up after so long.
         timeout: Micros,
+        /// And not begun later than this, should it have to wait for a connection.
+        begin_within: Micros,
         /// The caller's name for it.
         session: Session,
         /// The offer's payload.
--- a/crates/call/tests/calls.rs
+++ b/crates/call/tests/calls.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use baydrift::interface::{ListKind, Note, Outcome, Report, ServerState};
+use baydrift::interface::{ListKind, Note, Outcome, Repeat, Report, ServerState};
 use baydrift_call::guard::Breach;
 use baydrift_call::{
     AttemptEnd, Final, Input, Known, Limits, LinkId, LinkState, Output, Process, Refusal, ReleaseResult, Said,
@@ -319,6 +319,19 @@
     assert_eq!(w.engine.calls_held(), 1);
 }
 
+/// Guards against 'refused', which says that trying again is harmless, for a call that may run and must not run twice.
+#[test]
+fn a_stop_fails_a_call_that_was_sent_and_must_not_run_twice() {
+    let mut once = settings();
+    once.classes[0].repeat = Repeat::Never;
+    let mut w = World::with(once, Limits::default());
+    let (attempt, _) = set_up(&w.offer(1)).unwrap();
+    let out = w.input(Input::Stop);
+    assert_eq!((answers(&out), releases(&out)), (vec![Final::Failed], vec![attempt]));
+    let stopping = Final::Refused { retry_after: 0, why: Refusal::Stopping };
+    assert_eq!(answers(&w.offer(2)), [stopping], "what was never sent is refused");
+}
+
 #[test]
 fn an_own_stall_hears_drains_before_it_sends() {
     let mut w = World::new(Limits::default());
--- a/crates/call/tests/common/mod.rs
+++ b/crates/call/tests/common/mod.rs
@@ -83,7 +83,11 @@
 impl World {
     /// Servers 0 and 1 are ready, their links and client link 1 up.
     pub fn new(limits: Limits) -> Self {
-        let engine = Engine::new(settings(), limits, 7).expect("settings are good");
+        Self::with(settings(), limits)
+    }
+
+    pub fn with(settings: Settings, limits: Limits) -> Self {
+        let engine = Engine::new(settings, limits, 7).expect("settings are good");
         let mut world = Self { engine, now: S, out: Vec::new() };
         let entries = vec![entry(0, ServerState::Ready), entry(1, ServerState::Ready)];
         world.input(Input::List(ListKind::Full, entries));
--- a/crates/cli/benches/cost.rs
+++ b/crates/cli/benches/cost.rs
@@ -522,7 +522,12 @@
         actions: &mut Vec<baydrift::interface::Action>,
     ) {
         if let baydrift::interface::Event::Call(call) = event {
-            actions.push(baydrift::interface::Action::Send { call: call.id, server: 0, timeout: 1_000_000 });
+            actions.push(baydrift::interface::Action::Send {
+                call: call.id,
+                server: 0,
+                timeout: 1_000_000,
+                begin_within: 1_000_000,
+            });
         }
     }
 }
--- a/crates/day/src/baseline.rs
+++ b/crates/day/src/baseline.rs
@@ -42,7 +42,12 @@
                 self.last = server;
                 call.out = Some(call.attempts as u16);
                 call.attempts += 1;
-                actions.push(Action::Send { call: id, server, timeout: call.answer_by - now });
+                actions.push(Action::Send {
+                    call: id,
+                    server,
+                    timeout: call.answer_by - now,
+                    begin_within: call.answer_by - now,
+                });
             }
             None => {
                 self.calls.remove(&id);
--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -720,7 +720,7 @@
             Output::Release { attempt, server, .. } if self.trunk.leads_to(server) => {
                 self.trunk.release(now, attempt, server);
             }
-            Output::SetUp { attempt, server, call, index, class, session, payload, timeout: _ } => {
+            Output::SetUp { attempt, server, call, index, class, session, payload, .. } => {
                 payload.span.in_scope(|| debug!(call, index, server, attempt = attempt.0, "set up"));
                 let message = self.set_up(attempt, server, class, &session, &payload);
                 out.push(DeskOutput::ToServer { server, attempt, kind: Kind::SetUp, message, at: now });
--- a/src/bin/baydrift-wirehost/host.rs
+++ b/src/bin/baydrift-wirehost/host.rs
@@ -252,7 +252,7 @@
 
 fn put_action(out: &mut Vec<u8>, front: u16, action: &Action) {
     match action {
-        Action::Send { call, server, timeout } => {
+        Action::Send { call, server, timeout, .. } => {
             head(out, 1040, front);
             out.extend_from_slice(&call.to_le_bytes());
             seconds(out, *timeout);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -366,6 +366,8 @@
         server: ServerId,
         /// Give it up after so long.
         timeout: Micros,
+        /// Do not begin it later than this, should it have to wait for a connection: it ends as moot then.
+        begin_within: Micros,
     },
     /// Final answer: turned away, with advice to stay away so long (0: none).
     Refuse {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,7 +53,7 @@
 //! // A front carries these out on its own signalling stack and timers.
 //! for action in &actions {
 //!     match action {
-//!         Action::Send { call, server, timeout } => println!("set call {call} up at {server} within {timeout} us"),
+//!         Action::Send { call, server, timeout, .. } => println!("set call {call} up at {server} within {timeout} us"),
 //!         Action::Refuse { call, .. } | Action::Fail(call) => println!("turn call {call} away"),
 //!         Action::Timer { at, token } => println!("wake at {at} with {token}"),
 //!         other => println!("{other:?}"),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -767,6 +767,16 @@
         let (Some(pending), Some(server)) = (self.calls.get_mut(&id), self.servers.get_mut(&choice)) else {
             return;
         };
+        let class = self.settings.classes.get(pending.call.class);
+        // Guards against a repeat that was in time when it was decided on, and waited for a pace or a connection: its
+        // window counts where it begins.
+        let window = match (pending.may_have_run, class.map(|class| class.repeat)) {
+            (Some(at), Some(Repeat::Within(window))) => at.saturating_add(window).saturating_sub(now),
+            _ => Micros::MAX,
+        };
+        if window == 0 {
+            return self.turn_away(id, actions);
+        }
         let attempt = pending.attempts.min(u32::from(u16::MAX)) as u16;
         pending.attempts += 1;
         pending.out = Some((attempt, choice));
@@ -781,13 +791,13 @@
         // Guards against answers that get lost, while most time-outs are of that kind: a set-up stands soon
         // or never, and a class that is safe to repeat has time for another. Could hurt where a processor
         // slows in between: the work of the first is lost.
-        let class = self.settings.classes.get(pending.call.class);
         let class = class.filter(|c| c.repeat == Repeat::Safe && self.lost > LOST_MOSTLY);
         let soon = class.map_or(full, |class| (class.aim as f64 * LOST_AFTER) as Micros);
         let again = pending.attempts < self.settings.max_attempts
             && full > soon + self.settings.release_guard + LEAST_TIME;
         let timeout = if again { soon } else { full };
-        actions.push(Action::Send { call: id, server: choice, timeout });
+        let begin_within = full.min(window);
+        actions.push(Action::Send { call: id, server: choice, timeout, begin_within });
     }
 
     /// An attempt is no longer out, or stands.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -139,6 +139,31 @@
     assert_eq!(actions.iter().filter(|a| **a == Action::Fail(id)).count(), 1);
 }
 
+/// Guards against a repeat outside its class's window: it was in time when decided on, and waited for the guard, for a
+/// pace, or while this front stood still.
+#[test]
+fn a_repeat_within_a_window_begins_within_it_or_not_at_all() {
+    let resent = |late: Micros| {
+        let mut settings = settings();
+        settings.classes[0].repeat = Repeat::Within(600 * MS);
+        let mut front = Front::with(settings, &[line(10, 0)]);
+        let (id, actions) = front.call();
+        assert!(sent(&actions).is_some());
+        front.now += 100 * MS;
+        let mut actions = front.ended(id, 0, 10, Outcome::Reset, Note::None);
+        front.now += 310 * MS + late;
+        actions.extend(front.due());
+        actions.extend(front.pass(10 * MS));
+        let within = actions.iter().find_map(|action| match action {
+            Action::Send { begin_within, .. } => Some(*begin_within),
+            _ => None,
+        });
+        (within, answers(&actions, id))
+    };
+    assert!(matches!(resent(0), (Some(within), 0) if within <= 190 * MS), "{:?}", resent(0));
+    assert_eq!(resent(250 * MS), (None, 1), "refused: repeats are thrown away everywhere");
+}
+
 #[test]
 fn a_list_that_must_be_asked_for_is_asked_for_once_and_again_after_a_failure() {
     let watches = |actions: &[Action]| actions.iter().filter(|a| **a == Action::Watch).count();
