A turn reads all that has come before it sends: who left, then the list, new calls last

Seen: a caller's close or cancel lay behind other inputs. At a process that stands still 0.25 s at a time, callers' connections were closed in use: new ones pushed idle ones out before the closes that lay behind were read (callers.rs caller_up). At fault: coat/mod.rs take() in order of arrival, batches of 128; line.rs reader blocked on a full queue.

Change: inputs of a turn are put in order (state/turn.rs), a set-up whose close or cancel is in the same turn is withdrawn; what was read is good for 10 ms, then it is looked again before anything begins; EOF counts on the receiving side before the bytes in front of it are read. Closes are orderly (line.rs part): what was written leaves, unread bytes are no reset. The listener takes what the kernel holds before it closes; slots bound what it accepts ahead; an address that the process before still holds is waited for; dials can be stopped; the first question to the name server is no longer lost, and a way that stays quiet is left for another port. The end waits for releases that are owed and for half a set-up, and comes before the kill where all deadlines are short. A second attempt at a server with one connection gets one of its own, instead of ending as 'not reached' after the dial's time and marking the server cold.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -1,92 +1,19 @@
 //! The front node as a process, between own stand-ins on loopback: calls, faults, signals, and the five rules audited
 //! from what crossed the sockets.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Command, ExitStatus, Stdio};
+use std::process::Command;
 use std::sync::Arc;
 use std::time::Duration;
 
 use baydrift_audit::{rules, Recorder, Terms};
-use baydrift_platform::{Code, Id, Kind, Message};
-use baydrift_standin::{
-    relay_config as config, Listed, Manner, NameServer, PlatformCaller, PlatformServer, Told,
-};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use baydrift_standin::{relay_config as config, Manner, NameServer, PlatformCaller, PlatformServer, Told};
+use common::{listed, set_up, soon, until, Node, WAIT};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::process::Child;
-
-/// Nothing here takes longer, unless it never comes.
-const LONG: Duration = Duration::from_secs(20);
-/// What callers wait.
-const WAIT: Duration = Duration::from_millis(4_000);
-
-struct Node {
-    child: Child,
-    addr: SocketAddr,
-    config: PathBuf,
-}
-
-fn listed(name: &str, server: &PlatformServer, number: u16) -> Listed {
-    Listed::ready(name, server.addr, number)
-}
-
-impl Node {
-    async fn start(test: &str, text: &str) -> Self {
-        let config = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}.json"));
-        std::fs::write(&config, text).expect("a configuration file");
-        let mut child = tokio::process::Command::new(env!("CARGO_BIN_EXE_baydrift"))
-            .args(["--log-level", "baydrift_node=info", "node"])
-            .env("RELAY_CONFIG", &config)
-            .stderr(Stdio::piped())
-            .kill_on_drop(true)
-            .spawn()
-            .expect("the program");
-        let mut log = BufReader::new(child.stderr.take().expect("its log")).lines();
-        let addr = loop {
-            let line = log.next_line().await.expect("readable").expect("it says where it listens");
-            if let Some((_, addr)) = line.rsplit_once("listens on ") {
-                break addr.trim().parse().expect("an address");
-            }
-        };
-        // Whatever it says further is read, lest it waits for a reader.
-        tokio::spawn(async move { while let Ok(Some(_)) = log.next_line().await {} });
-        Self { child, addr, config }
-    }
-
-    fn signal(&self, name: &str) {
-        let id = self.child.id().expect("it runs").to_string();
-        assert!(Command::new("kill").args([name, &id]).status().is_ok_and(|status| status.success()));
-    }
-
-    async fn ended(&mut self) -> ExitStatus {
-        tokio::time::timeout(LONG, self.child.wait()).await.expect("it ends").expect("it ended")
-    }
-}
-
-fn set_up(id: u64) -> Message {
-    Message::new(Kind::SetUp, Id(id.to_be_bytes()))
-        .with(Code::CLASS, "load")
-        .with(Code::WAIT, WAIT.as_millis().to_string())
-        .with(Code::TENANT, "acme")
-        .with(Code::NUMBER, format!("{id:016x}"))
-        .with(Code::FIGURES, format!("dest:{};width:1;via:-1", id % 2))
-        .with(Code::DESCRIPTION, format!("call {id}"))
-}
-
-async fn soon<T>(what: impl std::future::Future<Output = T>) -> T {
-    tokio::time::timeout(LONG, what).await.expect("in time")
-}
-
-/// Waits until a condition on the stand-ins holds.
-async fn until(what: impl Fn() -> bool) {
-    soon(async {
-        while !what() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    })
-    .await;
-}
 
 /// Offers calls a few milliseconds apart; how many stand. Each must be answered.
 async fn offer(caller: &PlatformCaller, ids: std::ops::Range<u64>) -> usize {
--- a/crates/node/src/coat/mod.rs
+++ b/crates/node/src/coat/mod.rs
@@ -3,37 +3,44 @@
 mod line;
 mod outside;
 
-use std::cell::Cell;
 use std::collections::BTreeMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use baydrift::interface::Micros;
 use baydrift_call::{EngineError, LinkId};
-use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::mpsc;
-use tokio::task::spawn_local;
+use tokio::sync::{mpsc, Notify, Semaphore};
+use tokio::task::{spawn_local, AbortHandle};
+use tokio_util::task::TaskTracker;
 
-use self::line::Line;
+use self::line::{Key, Line};
+use self::outside::{Peers, Resolver};
 use crate::config::{Config, ConfigError};
-use crate::state::{ConnId, Input, Node, Output};
+use crate::state::{in_order, ConnId, Input, Node, Output};
 
 /// Inputs that wait for the core; readers wait beyond it.
 const QUEUE: usize = 512;
-/// Inputs handled before timers and outputs get their turn.
-const BATCH: usize = 128;
-/// The core woke so much later than it wanted: it stood still, and what has come meanwhile is read first.
-const STALLED: Micros = 20_000;
+/// Inputs that are put in order at once, and their bytes: more than one caller may have in set-up, so that its close is
+/// seen behind them.
+const TURN: (usize, usize) = (2_048, 2 << 20);
 /// Rounds of reading at the most before timers fire after all.
 const ROUNDS: usize = 64;
+/// What was read is good for so long: then it is looked again whether a caller has left or a call was answered, before
+/// anything new is sent.
+const GOOD_FOR: Micros = 10_000;
+/// Turns in a row that may end early before one is carried through.
+const LATE_TURNS: u32 = 4;
+/// Connections accepted beyond what callers may hold: each makes the oldest idle one go.
+const ACCEPT_AHEAD: usize = 8;
 /// What waits for a caller that does not read is dropped with its connection after this ...
 const CALLER_PATIENCE: Duration = Duration::from_secs(5);
 /// ... and for a signalling server sooner: a set-up that is read late has been given up.
 const SERVER_PATIENCE: Duration = Duration::from_millis(500);
-/// Time for the last answers to leave at the end.
-const LAST_WORDS: Duration = Duration::from_millis(300);
+/// Time for the last bytes to leave at the end, and for the other sides to close.
+const LAST_WORDS: Duration = Duration::from_millis(250);
 
 /// Why a front node cannot start.
 #[derive(Debug, thiserror::Error)]
@@ -52,12 +59,28 @@
     System(&'static str, std::io::Error),
 }
 
-/// What tasks tell the core.
-enum ToCore {
-    Caller(Rc<Line>, IpAddr),
-    Server(ConnId, Rc<Line>),
-    State(Input),
-    Reload,
+/// What a task tells the core; with the connection, where it is one that has come up.
+struct Arrival {
+    input: Input,
+    line: Option<Rc<Line>>,
+}
+
+impl From<Input> for Arrival {
+    fn from(input: Input) -> Self {
+        Self { input, line: None }
+    }
+}
+
+impl AsRef<Input> for Arrival {
+    fn as_ref(&self) -> &Input {
+        &self.input
+    }
+}
+
+impl AsMut<Input> for Arrival {
+    fn as_mut(&mut self) -> &mut Input {
+        &mut self.input
+    }
 }
 
 /// Unix time that never goes back while the process lives.
@@ -87,18 +110,24 @@
 struct Core {
     node: Node,
     clock: Clock,
-    to_core: mpsc::Sender<ToCore>,
+    to_core: mpsc::Sender<Arrival>,
+    inputs: mpsc::Receiver<Arrival>,
+    /// What has been read and not been handled, in the order in which it will be.
+    turn: Vec<Arrival>,
+    /// When all that had come was in `turn`.
+    read_at: Micros,
     callers: BTreeMap<LinkId, Rc<Line>>,
     servers: BTreeMap<ConnId, Rc<Line>>,
-    next_link: u64,
+    dials: BTreeMap<ConnId, AbortHandle>,
+    /// The tasks that hold connections.
+    readers: TaskTracker,
     dial_timeout: Duration,
-    names: Rc<UdpSocket>,
-    names_at: Rc<Cell<SocketAddr>>,
-    peers: Option<Rc<UdpSocket>>,
-    peers_at: Rc<[SocketAddr]>,
+    resolver: Resolver,
+    peers: Option<Rc<Peers>>,
     path: PathBuf,
-    listening: Option<tokio::task::JoinHandle<()>>,
+    deaf: Rc<Notify>,
     out: Vec<Output>,
+    late_turns: u32,
     ended: bool,
 }
 
@@ -113,129 +142,142 @@
     let node = Node::new(&config)?;
     let (to_core, mut inputs) = mpsc::channel(QUEUE);
     outside::signals(&to_core).map_err(system("signals"))?;
-    let any: SocketAddr = match config.names.ip() {
-        IpAddr::V4(_) => ([0, 0, 0, 0], 0).into(),
-        IpAddr::V6(_) => ([0u16; 8], 0).into(),
-    };
-    let names = Rc::new(UdpSocket::bind(any).await.map_err(system("a socket for the name server"))?);
-    let names_at = Rc::new(Cell::new(config.names));
-    spawn_local(outside::names(names.clone(), names_at.clone(), to_core.clone()));
-    let peers_at: Rc<[SocketAddr]> = config.peers.clone().into();
+    let Some(listener) = outside::bind(config.listen, &mut inputs).await? else { return Ok(()) };
+    let at = listener.local_addr().map_err(|e| StartError::Listen(config.listen, e))?;
+    let resolver = Resolver::new(config.names, &to_core).map_err(system("a socket for the name server"))?;
     let peers = match config.peer_listen {
-        Some(at) => Some(Rc::new(UdpSocket::bind(at).await.map_err(|e| StartError::Listen(at, e))?)),
+        Some(at) => Some(Peers::start(at, config.peers.clone().into(), &to_core).await?),
         None => None,
     };
-    if let Some(peers) = &peers {
-        spawn_local(outside::peers(peers.clone(), peers_at.clone(), to_core.clone()));
-    }
-    let listener =
-        TcpListener::bind(config.listen).await.map_err(|e| StartError::Listen(config.listen, e))?;
-    let at = listener.local_addr().map_err(|e| StartError::Listen(config.listen, e))?;
-    tracing::info!("{} listens on {at}", config.name);
-    let listening = spawn_local(outside::listen(listener, to_core.clone()));
+    let deaf = Rc::new(Notify::new());
+    let slots = Arc::new(Semaphore::new(node.callers_max() + ACCEPT_AHEAD));
+    spawn_local(outside::listen(listener, to_core.clone(), slots, deaf.clone()));
     let clock = Clock::new(clock_off);
     let mut core = Core {
         node,
         clock,
         to_core,
+        inputs,
+        turn: Vec::new(),
+        read_at: 0,
         callers: BTreeMap::new(),
         servers: BTreeMap::new(),
-        next_link: 1,
+        dials: BTreeMap::new(),
+        readers: TaskTracker::new(),
         dial_timeout: Duration::from_micros(config.dial_timeout()),
-        names,
-        names_at,
+        resolver,
         peers,
-        peers_at,
         path,
-        listening: Some(listening),
+        deaf,
         out: Vec::new(),
+        late_turns: 0,
         ended: false,
     };
     core.node.start(clock.now(), &mut core.out);
     core.carry_out();
-    let mut batch = Vec::with_capacity(BATCH);
+    tracing::info!("{} listens on {at}", config.name);
     while !core.ended {
-        let wake = core.node.next_wake();
-        tokio::select! {
-            biased;
-            _ = inputs.recv_many(&mut batch, BATCH) => {}
-            () = tokio::time::sleep_until(clock.at(wake)) => {}
-        }
-        if clock.now() > wake + STALLED || batch.is_empty() {
-            core.catch_up(&mut inputs, &mut batch).await;
-        }
-        for input in batch.drain(..) {
-            core.take(input);
-        }
-        core.node.hear(clock.now(), Input::Tick, &mut core.out);
-        core.carry_out();
+        core.wait().await;
+        core.read_on().await;
+        core.handle();
     }
-    let lines: Vec<_> = core.callers.values().cloned().collect();
-    let flushed = async {
-        while !lines.iter().all(|line| line.is_flushed()) {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    };
-    let _ = tokio::time::timeout(LAST_WORDS, flushed).await;
+    core.finish().await;
     Ok(())
 }
 
 impl Core {
-    /// Reads what has arrived before timers fire. Guards against a starved core: an answer or a drain that
-    /// came in time counts before the timer that it beats.
-    async fn catch_up(&mut self, inputs: &mut mpsc::Receiver<ToCore>, batch: &mut Vec<ToCore>) {
+    /// Until something has come or is due.
+    async fn wait(&mut self) {
+        if !self.turn.is_empty() {
+            return;
+        }
+        let wake = self.clock.at(self.node.next_wake());
+        tokio::select! {
+            biased;
+            input = self.inputs.recv() => self.turn.extend(input),
+            () = tokio::time::sleep_until(wake) => {}
+        }
+    }
+
+    /// Reads what has arrived before anything is sent or timers fire, and puts it in order. Guards against a starved
+    /// core: an answer or a drain that came in time counts before the timer that it beats, and a caller that has left
+    /// before the set-up that it left behind.
+    async fn read_on(&mut self) {
+        let mut bytes: usize = self.turn.iter().map(|arrival| arrival.input.size()).sum();
         for _ in 0..ROUNDS {
+            // Before the sockets are looked at: guards against a standstill between that look and this line.
+            self.read_at = self.clock.now();
             // Once for the sockets to be looked at, once for their readers to run.
             tokio::task::yield_now().await;
             tokio::task::yield_now().await;
-            let mut more = false;
-            while let Ok(input) = inputs.try_recv() {
-                batch.push(input);
-                more = true;
-            }
-            if !more {
-                return;
+            let before = self.turn.len();
+            while self.turn.len() < TURN.0 && bytes < TURN.1 {
+                let Ok(arrival) = self.inputs.try_recv() else { break };
+                bytes += arrival.input.size();
+                self.turn.push(arrival);
             }
-            for input in batch.drain(..) {
-                self.take(input);
+            if self.turn.len() == before {
+                break;
             }
         }
+        in_order(&mut self.turn);
     }
 
-    fn take(&mut self, input: ToCore) {
-        let now = self.clock.now();
-        match input {
-            ToCore::Caller(line, ip) => {
-                let link = LinkId(self.next_link);
-                self.next_link += 1;
-                self.callers.insert(link, line.clone());
-                spawn_local(line.read(link, self.to_core.clone()));
-                self.node.hear(now, Input::CallerUp(link, ip), &mut self.out);
+    /// Handles what was read, as long as it is good: then nothing is begun that a later read takes back. Timers fire once
+    /// all is handled that they could beat. Guards against standstills, within a turn as between two, and against a
+    /// machine so slow that every turn takes longer, which would never get to its end.
+    fn handle(&mut self) {
+        let mut left = std::mem::take(&mut self.turn).into_iter().peekable();
+        let patient = self.late_turns < LATE_TURNS;
+        let is_late = |core: &Self| patient && core.clock.now() > core.read_at + GOOD_FOR;
+        while let Some(next) = left.peek() {
+            if next.input.may_begin() && is_late(self) {
+                break;
             }
-            ToCore::Server(conn, line) => {
-                self.servers.insert(conn, line.clone());
-                spawn_local(line.read(conn, self.to_core.clone()));
-                self.node.hear(now, Input::ServerUp(conn), &mut self.out);
+            if let Some(arrival) = left.next() {
+                self.take(arrival);
             }
-            ToCore::Reload => {
-                match Config::load(&self.path) {
-                    Ok(config) => self.names_at.set(config.names),
-                    Err(error) => tracing::error!("SIGHUP: the configuration of before holds: {error}"),
-                }
-                self.node.hear(now, Input::Moved, &mut self.out);
+        }
+        self.turn = left.collect();
+        if is_late(self) {
+            self.late_turns += 1;
+            return;
+        }
+        self.late_turns = 0;
+        self.node.hear(self.clock.now(), Input::Tick, &mut self.out);
+        self.carry_out();
+    }
+
+    fn take(&mut self, arrival: Arrival) {
+        let now = self.clock.now();
+        let Arrival { input, line } = arrival;
+        match (&input, line) {
+            (Input::CallerUp(link, _), Some(line)) => {
+                self.callers.insert(*link, line.clone());
+                self.reads(line, *link);
             }
-            ToCore::State(input) => {
-                match &input {
-                    Input::CallerDown(link) => drop(self.callers.remove(link)),
-                    Input::ServerDown(conn) => drop(self.servers.remove(conn)),
-                    _ => {}
-                }
-                self.node.hear(now, input, &mut self.out);
+            (Input::ServerUp(conn), Some(line)) => {
+                self.dials.remove(conn);
+                self.servers.insert(*conn, line.clone());
+                self.reads(line, *conn);
             }
+            (Input::DialFailed(conn, _), _) => drop(self.dials.remove(conn)),
+            (Input::CallerDown(link), _) => drop(self.callers.remove(link)),
+            (Input::ServerDown(conn), _) => drop(self.servers.remove(conn)),
+            (Input::Moved, _) => match Config::load(&self.path) {
+                Ok(config) => self.resolver.asks(config.names),
+                Err(error) => tracing::error!("SIGHUP: the configuration of before holds: {error}"),
+            },
+            _ => {}
         }
+        self.node.hear(now, input, &mut self.out);
         self.carry_out();
     }
 
+    fn reads<K: Key + 'static>(&self, line: Rc<Line>, key: K) {
+        self.readers.spawn_local(line.read(key, self.to_core.clone()));
+    }
+
     fn carry_out(&mut self) {
         let mut out = std::mem::take(&mut self.out);
         for order in out.drain(..) {
@@ -256,28 +298,37 @@
                     }
                 }
                 Output::CloseServer(conn) => {
+                    if let Some(dial) = self.dials.remove(&conn) {
+                        dial.abort();
+                    }
                     if let Some(line) = self.servers.remove(&conn) {
                         line.close();
                     }
                 }
                 Output::Dial(conn, address) => {
-                    spawn_local(outside::dial(conn, address, self.dial_timeout, self.to_core.clone()));
+                    let dial = outside::dial(conn, address, self.dial_timeout, self.to_core.clone());
+                    self.dials.insert(conn, spawn_local(dial).abort_handle());
                 }
-                // A datagram that the system does not take is one that got lost.
-                Output::Ask(query) => drop(self.names.try_send_to(&query, self.names_at.get())),
+                Output::Ask { query, anew } => self.resolver.ask(&query, anew),
                 Output::ToPeer(to, payload) => {
-                    if let (Some(socket), Some(at)) = (&self.peers, self.peers_at.get(to as usize)) {
-                        drop(socket.try_send_to(&payload, *at));
-                    }
-                }
-                Output::Deaf => {
-                    if let Some(listening) = self.listening.take() {
-                        listening.abort();
+                    if let Some(peers) = &self.peers {
+                        peers.tell(to, &payload);
                     }
                 }
+                Output::Deaf => self.deaf.notify_one(),
                 Output::End => self.ended = true,
             }
         }
         self.out = out;
     }
+
+    /// Closes all connections, so that what was written last still arrives: answers to callers, releases to servers.
+    async fn finish(mut self) {
+        self.inputs.close();
+        for line in self.callers.values().chain(self.servers.values()) {
+            line.close();
+        }
+        self.readers.close();
+        let _ = tokio::time::timeout(LAST_WORDS, self.readers.wait()).await;
+    }
 }
--- a/crates/node/src/state/callers.rs
+++ b/crates/node/src/state/callers.rs
@@ -37,6 +37,15 @@
     standing: usize,
     useful: bool,
     faults: u32,
+    /// Part of a message has come, and no whole one since.
+    amid: bool,
+}
+
+impl Link {
+    /// Whether the rest of a message is on its way.
+    pub(super) fn is_amid(&self) -> bool {
+        self.amid
+    }
 }
 
 /// Ends of calls whose caller has no connection just now.
@@ -57,8 +66,15 @@
                 None => return out.push(Output::CloseCaller(link)),
             }
         }
-        let fresh =
-            Link { ip, opened: self.now, open: BTreeSet::new(), standing: 0, useful: false, faults: 0 };
+        let fresh = Link {
+            ip,
+            opened: self.now,
+            open: BTreeSet::new(),
+            standing: 0,
+            useful: false,
+            faults: 0,
+            amid: false,
+        };
         self.links.insert(link, fresh);
         for (_, call, cause) in self.owed.take(self.now, |(whose, ..)| *whose == ip) {
             write(out, link, &Message::release(call, cause));
@@ -66,9 +82,8 @@
     }
 
     pub(super) fn caller_said(&mut self, link: LinkId, message: Message, out: &mut Vec<Output>) {
-        if !self.links.contains_key(&link) {
-            return;
-        }
+        let Some(own) = self.links.get_mut(&link) else { return };
+        own.amid = false;
         match message.kind {
             Kind::SetUp => {
                 if let Err(fault) = self.offered(link, &message, out) {
@@ -198,6 +213,20 @@
         self.engine(Moment::Released { session, request }, out);
     }
 
+    /// A set-up that was taken back before it was looked at: no answer is owed, but its connection was of use.
+    pub(super) fn withdrawn(&mut self, link: LinkId) {
+        if let Some(own) = self.links.get_mut(&link) {
+            (own.useful, own.amid) = (true, false);
+        }
+    }
+
+    /// Part of a message has come.
+    pub(super) fn caller_part(&mut self, link: LinkId) {
+        if let Some(own) = self.links.get_mut(&link) {
+            own.amid = true;
+        }
+    }
+
     pub(super) fn caller_down(&mut self, link: LinkId, out: &mut Vec<Output>) {
         let Some(own) = self.links.remove(&link) else { return };
         tracing::trace!("link {} down: {} open, {} stand", link.0, own.open.len(), own.standing);
--- a/crates/node/src/state/mod.rs
+++ b/crates/node/src/state/mod.rs
@@ -10,6 +10,7 @@
 mod names;
 mod servers;
 mod spread;
+mod turn;
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -23,15 +24,21 @@
 use bytes::Bytes;
 
 pub use servers::ConnId;
+pub use turn::in_order;
 
 use crate::config::Config;
 
 /// Time between looks at connections that should have said something.
 const LOOK: Micros = 50_000;
-/// After SIGTERM new connections and set-ups are taken for so long: the platform hands over within 0.6 s ...
+/// After SIGTERM new connections and set-ups are taken for so long, where there is time: the platform hands over within
+/// 0.6 s ...
 const HAND_OVER: Micros = 900_000;
-/// ... and what is still open then is answered by this time, before the kill at 3.7 s at the earliest.
-const LAST_ANSWER: Micros = 3_200_000;
+/// ... and may kill this long after the longest deadline has passed, which counts as so much at the most.
+const KILL_AFTER: (Micros, Micros) = (700_000, 3_000_000);
+/// What is still open is answered so long before that, and the last bytes leave ...
+const LAST_ANSWER: Micros = 300_000;
+/// ... while no more connections are taken for at least this long, in which what the kernel had taken is read.
+const LAST_LOOK: Micros = 100_000;
 /// Answered calls are remembered for so long, so that an id that is used again is refused.
 const MEMORY: (usize, Micros) = (4_096, 10_000_000);
 /// Calls held at once, in set-up or standing, whatever the settings allow: a few megabytes.
@@ -46,6 +53,10 @@
     CallerUp(LinkId, IpAddr),
     /// A caller sent a message.
     FromCaller(LinkId, Message),
+    /// A caller asked for a call, and gave it up or left before that was looked at.
+    Withdrawn(LinkId),
+    /// Part of a caller's message has come.
+    CallerPart(LinkId),
     /// A caller's connection ended, or what it sent cannot be read.
     CallerDown(LinkId),
     /// A connection to a signalling server is up.
@@ -70,6 +81,18 @@
     Tick,
 }
 
+impl AsRef<Self> for Input {
+    fn as_ref(&self) -> &Self {
+        self
+    }
+}
+
+impl AsMut<Self> for Input {
+    fn as_mut(&mut self) -> &mut Self {
+        self
+    }
+}
+
 /// What is to be done, in order.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Output {
@@ -84,7 +107,12 @@
     /// Close a signalling server's connection, or stop dialling it.
     CloseServer(ConnId),
     /// Ask the name server.
-    Ask(Vec<u8>),
+    Ask {
+        /// The question.
+        query: Vec<u8>,
+        /// From another port: what went by the present one stays unanswered.
+        anew: bool,
+    },
     /// A datagram for another front node.
     ToPeer(u32, Vec<u8>),
     /// Take no new connections.
@@ -124,6 +152,8 @@
     since: Micros,
     /// When the attempt is given up.
     until: Micros,
+    /// When it is not worth beginning any more.
+    begin_by: Micros,
 }
 
 /// What the engine keeps of an offer for us.
@@ -169,7 +199,7 @@
     /// The description on the answer that is being handled.
     answer: Option<Bytes>,
     stopped_at: Option<Micros>,
-    deaf: bool,
+    deaf_at: Option<Micros>,
     looked_at: Micros,
     counts: Counts,
     belief: belief::Seen,
@@ -210,7 +240,7 @@
             dial_timeout: config.dial_timeout(),
             answer: None,
             stopped_at: None,
-            deaf: false,
+            deaf_at: None,
             looked_at: 0,
             counts: Counts::default(),
             belief: belief::Seen::default(),
@@ -231,6 +261,8 @@
         match input {
             Input::CallerUp(link, ip) => self.caller_up(link, ip, out),
             Input::FromCaller(link, message) => self.caller_said(link, message, out),
+            Input::Withdrawn(link) => self.withdrawn(link),
+            Input::CallerPart(link) => self.caller_part(link),
             Input::CallerDown(link) => self.caller_down(link, out),
             Input::ServerUp(conn) => self.server_up(conn, out),
             Input::DialFailed(conn, refused) => self.dial_failed(conn, refused, out),
@@ -264,6 +296,11 @@
         engine.min(self.looked_at + LOOK).min(self.names.due())
     }
 
+    /// Connections that callers may hold.
+    pub fn callers_max(&self) -> usize {
+        self.links_max
+    }
+
     /// What is held: callers' connections, signalling servers' connections, calls in set-up, calls that stand,
     /// answers remembered, timers.
     pub fn held(&self) -> [usize; 6] {
@@ -281,8 +318,8 @@
 
     /// Looks at all that should have happened by now.
     fn look(&mut self, out: &mut Vec<Output>) {
-        if let Some(query) = self.names.ask(self.now) {
-            out.push(Output::Ask(query));
+        if let Some((query, anew)) = self.names.ask(self.now) {
+            out.push(Output::Ask { query, anew });
         }
         if self.now < self.looked_at + LOOK && self.looked_at > 0 {
             return;
@@ -291,15 +328,24 @@
         self.look_at_servers(out);
         self.look_at_callers(out);
         self.tell_beliefs();
+        self.look_at_the_end(out);
+    }
+
+    /// The end after SIGTERM: callers are taken for a while, what was taken is answered, what is owed to servers leaves.
+    fn look_at_the_end(&mut self, out: &mut Vec<Output>) {
         let Some(since) = self.stopped_at.map(|at| self.now.saturating_sub(at)) else { return };
-        if since >= HAND_OVER && !self.deaf {
-            self.deaf = true;
+        let kill = KILL_AFTER.0 + self.longest_wait.min(KILL_AFTER.1);
+        let last_answer = kill - LAST_ANSWER;
+        if since >= HAND_OVER.min(last_answer - LAST_LOOK) && self.deaf_at.is_none() {
+            self.deaf_at = Some(self.now);
             out.push(Output::Deaf);
         }
-        if since >= LAST_ANSWER {
+        if since >= last_answer {
             self.engine(Moment::Stop, out);
         }
-        if self.deaf && self.engine.calls_in_set_up() == 0 {
+        let looked = self.deaf_at.is_some_and(|at| self.now >= at + LAST_LOOK);
+        let owing = self.links.values().any(callers::Link::is_amid) || self.servers.is_owing();
+        if looked && self.engine.calls_in_set_up() == 0 && (!owing || since >= last_answer) {
             out.push(Output::End);
         }
     }
@@ -330,9 +376,9 @@
     fn carry_out(&mut self, orders: Vec<Order<Payload>>, out: &mut Vec<Output>) {
         for order in orders {
             match order {
-                Order::SetUp { attempt, server, session, payload, timeout, .. } => {
+                Order::SetUp { attempt, server, session, payload, timeout, begin_within, .. } => {
                     if let Some(call) = id_of(&session) {
-                        self.set_up(attempt, server, call, payload, timeout, out);
+                        self.set_up(attempt, server, call, payload, (timeout, begin_within), out);
                     }
                 }
                 Order::Release { attempt, .. } => self.release(attempt, out),
--- a/crates/node/src/state/names.rs
+++ b/crates/node/src/state/names.rs
@@ -11,6 +11,9 @@
 const AGAIN: Micros = 150_000;
 /// Questions whose answers still count: a slow answer is as good as a quick one.
 const OPEN_MAX: usize = 4;
+/// Questions without an answer, one after the other, before the next goes out from another port. Guards against a way
+/// that has gone quiet for good where the name server has not (RFC 5452 wants ports that change in any case).
+const QUIET: u32 = 4;
 
 /// The asking.
 #[derive(Debug)]
@@ -18,19 +21,26 @@
     rng: Pcg64Mcg,
     open: Vec<u16>,
     due: Micros,
+    /// Questions since the last answer.
+    unanswered: u32,
 }
 
 impl Names {
     pub(super) fn new(seed: u64) -> Self {
-        Self { rng: Pcg64Mcg::seed_from_u64(seed ^ 0x6e61_6d65_7300), open: Vec::new(), due: 0 }
+        Self {
+            rng: Pcg64Mcg::seed_from_u64(seed ^ 0x6e61_6d65_7300),
+            open: Vec::new(),
+            due: 0,
+            unanswered: 0,
+        }
     }
 
     pub(super) fn due(&self) -> Micros {
         self.due
     }
 
-    /// The query, where one is due.
-    pub(super) fn ask(&mut self, now: Micros) -> Option<Vec<u8>> {
+    /// The query, where one is due, and whether it goes out from another port.
+    pub(super) fn ask(&mut self, now: Micros) -> Option<(Vec<u8>, bool)> {
         if now < self.due {
             return None;
         }
@@ -40,7 +50,9 @@
             self.open.remove(0);
         }
         self.open.push(id);
-        names::query(id).ok()
+        let anew = self.unanswered > 0 && self.unanswered % QUIET == 0;
+        self.unanswered = self.unanswered.wrapping_add(1);
+        Some((names::query(id).ok()?, anew))
     }
 
     /// The list in an answer, if it is an answer to a question of ours. Any other changes nothing: the next
@@ -53,7 +65,7 @@
         match names::read(bytes, id) {
             Ok(listed) => {
                 self.open.clear();
-                self.due = now + EVERY;
+                (self.due, self.unanswered) = (now + EVERY, 0);
                 Some(listed)
             }
             Err(fault) => {
@@ -67,6 +79,6 @@
     /// The name server has moved: it is asked at once, and what was asked before counts no longer.
     pub(super) fn moved(&mut self, now: Micros) {
         self.open.clear();
-        self.due = now;
+        (self.due, self.unanswered) = (now, 0);
     }
 }
--- a/crates/node/src/state/servers.rs
+++ b/crates/node/src/state/servers.rs
@@ -68,6 +68,8 @@
 #[derive(Debug)]
 struct Conn {
     server: ServerId,
+    /// Where it was dialled.
+    address: SocketAddr,
     up: bool,
     /// Set-ups without their answer.
     open: BTreeMap<Id, AttemptId>,
@@ -184,6 +186,11 @@
         std::mem::take(&mut self.restarted)
     }
 
+    /// Whether a release waits for a connection to its server.
+    pub(super) fn is_owing(&self) -> bool {
+        self.known.values().any(|server| server.listed.is_some() && !server.owed.is_empty())
+    }
+
     /// A call stands at a server, which need not be on the list.
     pub(super) fn stands(&mut self, now: Micros, server: ServerId, call: Id, attempt: AttemptId) {
         let fresh = || Server { down_since: Some(now), ..Server::default() };
@@ -218,6 +225,13 @@
         self.up(server).next().map(|(id, _)| id)
     }
 
+    /// Whether a set-up waits though connections are up: its call was on each of them. Guards against a second attempt
+    /// at the same server that waits for a connection which nobody dials.
+    fn is_stuck(&self, server: &Server) -> bool {
+        let up = server.conns.iter().any(|id| self.conns.get(id).is_some_and(|conn| conn.up));
+        up && !server.waiting.is_empty() && server.conns.len() < 2 * MOST
+    }
+
     /// How many connections a server should have now.
     fn wanted(&self, now: Micros, server: &Server) -> usize {
         let open = server.conns.iter().filter_map(|id| self.conns.get(id)).map(|conn| conn.open.len());
@@ -245,6 +259,7 @@
         // Guards against ends of calls that went down with a connection: their server tells them again, but only on
         // the next connection that is opened, and no set-up may need one for long.
         let renewed = usize::from(server.renew && server.listed.is_some() && server.conns.len() < 2 * MOST);
+        let renewed = renewed.max(usize::from(!dialling && self.is_stuck(server)));
         let missing = wanted.saturating_sub(server.conns.len()).max(renewed).min(2);
         let Some(address) = server.address.filter(|_| due && room) else { return };
         for _ in 0..missing {
@@ -252,6 +267,7 @@
             self.next_conn += 1;
             let fresh = Conn {
                 server: id,
+                address,
                 up: false,
                 open: BTreeMap::new(),
                 past: Aged::new(PAST),
@@ -291,10 +307,12 @@
         server: ServerId,
         call: Id,
         payload: Payload,
-        timeout: Micros,
+        (timeout, begin_within): (Micros, Micros),
         out: &mut Vec<Output>,
     ) {
-        let unsent = Unsent { payload, since: self.now, until: self.now + timeout };
+        let (since, until) = (self.now, self.now + timeout);
+        let begin_by = self.now.saturating_add(begin_within).min(until);
+        let unsent = Unsent { payload, since, until, begin_by };
         let flight = Flight { server, call, conn: None, stands: false, at: self.now, unsent: Some(unsent) };
         self.flights.insert(attempt, flight);
         match self.servers.choose(server, call) {
@@ -389,8 +407,10 @@
             write(out, id, &Message::release(call, Cause::NORMAL));
         }
         for attempt in waiting {
-            // Checked again at the moment of writing: the server's drain may have been told meanwhile.
-            if ready {
+            // Checked again at the moment of writing: the server's drain may have been told meanwhile, and the time in
+            // which the set-up was of use may have passed.
+            let unsent = self.flights.get(&attempt).and_then(|flight| flight.unsent.as_ref());
+            if ready && unsent.is_some_and(|unsent| now < unsent.begin_by) {
                 self.write_set_up(attempt, id, out);
             } else {
                 self.end(attempt, AttemptEnd::plain(Outcome::Moot), out);
@@ -582,6 +602,12 @@
             self.look_at_server(id, out);
         }
         let mut broken = Vec::new();
+        let at = |server| self.servers.known.get(&server).map(|server| server.address);
+        let misplaced =
+            self.servers.conns.iter().filter(|(_, conn)| at(conn.server) != Some(Some(conn.address)));
+        // Guards against a server that has moved, and one whose address is another's by now: what was dialled there is
+        // somebody else, or nobody.
+        broken.extend(misplaced.map(|(id, _)| (*id, "the server is elsewhere")));
         for (id, conn) in self.servers.conns.iter_mut().filter(|(_, conn)| conn.up) {
             let stuck = conn.part_since.is_some_and(|at| now >= at + PART_WITHIN);
             let silent = conn.tested_at.is_some_and(|at| now >= at + TEST_WITHIN);
@@ -606,7 +632,7 @@
             .iter()
             .filter(|attempt| {
                 let unsent = self.flights.get(attempt).and_then(|flight| flight.unsent.as_ref());
-                unsent.is_none_or(|unsent| now >= unsent.since + dial_timeout)
+                unsent.is_none_or(|unsent| now >= (unsent.since + dial_timeout).min(unsent.begin_by))
             })
             .copied()
             .collect();
@@ -615,8 +641,14 @@
         let down = server.down_since.is_some_and(|at| now >= at + after);
         let idle = server.listed.is_none() && server.standing.is_empty() && server.waiting.is_empty();
         let conns: Vec<_> = server.conns.iter().copied().collect();
+        // Guards against a server that serves and is taken for one that cannot be reached, and so for cold, since it gave
+        // this call no further connection in time.
+        let outcome = match self.servers.any_up(id) {
+            Some(_) => Outcome::Moot,
+            None => Outcome::ConnectFailed,
+        };
         for attempt in late {
-            self.end(attempt, AttemptEnd::plain(Outcome::ConnectFailed), out);
+            self.end(attempt, AttemptEnd::plain(outcome), out);
         }
         if down {
             // Cut off, or gone without a word. Should it come back, it is told what it may hold still.
@@ -634,8 +666,30 @@
             self.servers.known.remove(&id);
             return;
         }
+        self.close_spare(id, out);
         self.servers.dial(now, id, false, out);
     }
+
+    /// Closes a connection beyond what the server is worth, the oldest on which nothing is open and nothing stands: no end
+    /// of a call comes by it first.
+    fn close_spare(&mut self, id: ServerId, out: &mut Vec<Output>) {
+        let Some(server) = self.servers.known.get(&id) else { return };
+        let share = self.servers.bounds.all / self.servers.known.len().max(1);
+        let most = server.spread.unwrap_or(self.servers.bounds.spread).most(self.now).min(share).max(1);
+        let up: Vec<_> = self.servers.up(id).map(|(conn, of)| (conn, of.open.is_empty())).collect();
+        let used = |conn: &ConnId| self.flights.values().any(|flight| flight.conn == Some(*conn));
+        if up.len() <= most {
+            return;
+        }
+        let Some((spare, _)) = up.into_iter().find(|(conn, idle)| *idle && !used(conn)) else { return };
+        let renew = server.renew;
+        out.push(Output::CloseServer(spare));
+        self.servers.remove(self.now, spare);
+        if let Some(server) = self.servers.known.get_mut(&id) {
+            // It did not break: nothing went down with it.
+            server.renew = renew;
+        }
+    }
 }
 
 /// A server's further word on a refusal.
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -112,7 +112,7 @@
                     self.dialled.remove(&conn);
                     self.closed_servers.push(conn);
                 }
-                Output::Ask(query) => self.asked.push(query),
+                Output::Ask { query, .. } => self.asked.push(query),
                 Output::ToPeer(to, payload) => self.to_peers.push((to, payload)),
                 Output::Deaf => self.deaf = true,
                 Output::End => self.ended = true,
--- a/crates/platform/src/setup.rs
+++ b/crates/platform/src/setup.rs
@@ -4,7 +4,7 @@
 
 use baydrift::interface::Micros;
 
-use crate::{Code, Fault, Message};
+use crate::{Code, Fault, Kind, Message};
 
 /// A set-up's own figures, checked against nothing but their form and the bounds given.
 #[derive(Debug, Clone, PartialEq)]
@@ -96,6 +96,15 @@
     }
 }
 
+/// Whether a message asks for a call, other than one that stands already.
+pub fn is_offer(message: &Message) -> bool {
+    let names = |part: &str| {
+        part.split_once(':').is_some_and(|(name, at)| name.trim() == "at" && !at.trim().is_empty())
+    };
+    let stands = |text: &str| text.split(';').any(names);
+    message.kind == Kind::SetUp && !message.text(Code::FIGURES).ok().flatten().is_some_and(stands)
+}
+
 fn index(value: f64) -> Option<u16> {
     (value >= 0.0).then_some(value as u16)
 }
