baydrift ramps: what all fronts send a cold server together, beside what pushes it over

Need: beyond its budget of N calls a cold server now stands 2 roots of N + 2 by the sum of all fronts; nobody could say how often they pass that. Change: a model of fronts (the module itself) at a server that starts cold, in virtual time, with skewed traffic, restarts, other numbers than the settings say, and a surge.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod front;
 mod lives;
 mod node;
+mod ramps;
 mod seeds;
 mod trunks;
 
@@ -77,6 +78,9 @@
     /// A fleet that shares one budget, in virtual time: what is used of it, or many seeds of drawn faults; exit code 1 if
     /// the sum over all fronts passes the bound.
     Budgets(budgets::Args),
+    /// A fleet at a server that starts cold, in virtual time: what all fronts send it together beside what pushes it over;
+    /// exit code 1 if any start passes the bound.
+    Ramps(ramps::Args),
     /// A fleet that learns who of it lives, in virtual time: how soon and at what cost, or many seeds of drawn faults; exit
     /// code 1 if a belief stays wrong.
     Lives(lives::Args),
@@ -121,6 +125,7 @@
         Command::Audit { record } => day::audit(&record),
         Command::Trunks(args) => runtime()?.block_on(trunks::run(&args)),
         Command::Budgets(args) => budgets::run(&args),
+        Command::Ramps(args) => ramps::run(&args),
         Command::Lives(args) => lives::run(&args),
         Command::StandIn => runtime()?.block_on(day::stand_in()),
         Command::Become { program, words } => {
