A turn looks at the sockets again only where what it has is old or much

Examined: what wakes the core was read in the poll just before, with all that was ready in it. Change: each arrival has the time of its reading; within 2 ms of it and with fewer than 32 arrivals nothing is looked at again.

--- a/crates/node/src/coat/mod.rs
+++ b/crates/node/src/coat/mod.rs
@@ -30,7 +30,10 @@
 const ROUNDS: usize = 64;
 /// What was read is good for so long: then it is looked again whether a caller has left or a call was answered, before
 /// anything new is sent.
-const GOOD_FOR: Micros = 10_000;
+const GOOD_FOR: Duration = Duration::from_millis(10);
+/// What a turn begins with was read so lately, and is so little: then the sockets have just been looked at, and all that
+/// they had is here. Each further look costs as much as a call does.
+const LATELY: (Duration, usize) = (Duration::from_millis(2), 32);
 /// Turns in a row that may end early before one is carried through.
 const LATE_TURNS: u32 = 4;
 /// Connections accepted beyond what callers may hold: each makes the oldest idle one go.
@@ -63,11 +66,19 @@
 struct Arrival {
     input: Input,
     line: Option<Rc<Line>>,
+    /// When it was read.
+    at: Instant,
+}
+
+impl Arrival {
+    fn new(input: Input, line: Option<Rc<Line>>) -> Self {
+        Self { input, line, at: Instant::now() }
+    }
 }
 
 impl From<Input> for Arrival {
     fn from(input: Input) -> Self {
-        Self { input, line: None }
+        Self::new(input, None)
     }
 }
 
@@ -114,8 +125,8 @@
     inputs: mpsc::Receiver<Arrival>,
     /// What has been read and not been handled, in the order in which it will be.
     turn: Vec<Arrival>,
-    /// When all that had come was in `turn`.
-    read_at: Micros,
+    /// As of when all that had come was in `turn`.
+    read_at: Instant,
     callers: BTreeMap<LinkId, Rc<Line>>,
     servers: BTreeMap<ConnId, Rc<Line>>,
     dials: BTreeMap<ConnId, AbortHandle>,
@@ -159,7 +170,7 @@
         to_core,
         inputs,
         turn: Vec::new(),
-        read_at: 0,
+        read_at: Instant::now(),
         callers: BTreeMap::new(),
         servers: BTreeMap::new(),
         dials: BTreeMap::new(),
@@ -177,8 +188,10 @@
     core.carry_out();
     tracing::info!("{} listens on {at}", config.name);
     while !core.ended {
-        core.wait().await;
-        core.read_on().await;
+        if !core.wait().await {
+            core.read_on().await;
+        }
+        in_order(&mut core.turn);
         core.handle();
     }
     core.finish().await;
@@ -186,16 +199,33 @@
 }
 
 impl Core {
-    /// Until something has come or is due.
-    async fn wait(&mut self) {
+    /// Until something has come or is due. `true` when that, and all that came with it, has been read just now.
+    async fn wait(&mut self) -> bool {
         if !self.turn.is_empty() {
-            return;
+            return false;
         }
         let wake = self.clock.at(self.node.next_wake());
-        tokio::select! {
+        let since = tokio::select! {
             biased;
-            input = self.inputs.recv() => self.turn.extend(input),
-            () = tokio::time::sleep_until(wake) => {}
+            arrival = self.inputs.recv() => {
+                let at = arrival.as_ref().map_or_else(Instant::now, |arrival| arrival.at);
+                self.turn.extend(arrival);
+                at
+            }
+            () = tokio::time::sleep_until(wake) => wake.into_std(),
+        };
+        self.collect();
+        self.read_at = since;
+        since.elapsed() < LATELY.0 && self.turn.len() < LATELY.1
+    }
+
+    /// Takes over what readers have told, within bounds.
+    fn collect(&mut self) {
+        let mut bytes: usize = self.turn.iter().map(|arrival| arrival.input.size()).sum();
+        while self.turn.len() < TURN.0 && bytes < TURN.1 {
+            let Ok(arrival) = self.inputs.try_recv() else { break };
+            bytes += arrival.input.size();
+            self.turn.push(arrival);
         }
     }
 
@@ -203,24 +233,18 @@
     /// core: an answer or a drain that came in time counts before the timer that it beats, and a caller that has left
     /// before the set-up that it left behind.
     async fn read_on(&mut self) {
-        let mut bytes: usize = self.turn.iter().map(|arrival| arrival.input.size()).sum();
         for _ in 0..ROUNDS {
             // Before the sockets are looked at: guards against a standstill between that look and this line.
-            self.read_at = self.clock.now();
+            self.read_at = Instant::now();
             // Once for the sockets to be looked at, once for their readers to run.
             tokio::task::yield_now().await;
             tokio::task::yield_now().await;
             let before = self.turn.len();
-            while self.turn.len() < TURN.0 && bytes < TURN.1 {
-                let Ok(arrival) = self.inputs.try_recv() else { break };
-                bytes += arrival.input.size();
-                self.turn.push(arrival);
-            }
+            self.collect();
             if self.turn.len() == before {
                 break;
             }
         }
-        in_order(&mut self.turn);
     }
 
     /// Handles what was read, as long as it is good: then nothing is begun that a later read takes back. Timers fire once
@@ -229,7 +253,7 @@
     fn handle(&mut self) {
         let mut left = std::mem::take(&mut self.turn).into_iter().peekable();
         let patient = self.late_turns < LATE_TURNS;
-        let is_late = |core: &Self| patient && core.clock.now() > core.read_at + GOOD_FOR;
+        let is_late = |core: &Self| patient && core.read_at.elapsed() > GOOD_FOR;
         while let Some(next) = left.peek() {
             if next.input.may_begin() && is_late(self) {
                 break;
@@ -250,7 +274,7 @@
 
     fn take(&mut self, arrival: Arrival) {
         let now = self.clock.now();
-        let Arrival { input, line } = arrival;
+        let Arrival { input, line, .. } = arrival;
         match (&input, line) {
             (Input::CallerUp(link, _), Some(line)) => {
                 self.callers.insert(*link, line.clone());
--- a/crates/node/src/coat/outside.rs
+++ b/crates/node/src/coat/outside.rs
@@ -83,10 +83,8 @@
     let mut next = 0;
     let mut up = |stream, from: SocketAddr, slot| {
         next += 1;
-        Arrival {
-            input: Input::CallerUp(LinkId(next), from.ip()),
-            line: Some(Line::new(stream, CALLER_PATIENCE, slot)),
-        }
+        let line = Line::new(stream, CALLER_PATIENCE, slot);
+        Arrival::new(Input::CallerUp(LinkId(next), from.ip()), Some(line))
     };
     loop {
         let accepted = async {
@@ -124,9 +122,7 @@
 /// Connects to a signalling server.
 pub(super) async fn dial(conn: ConnId, to: SocketAddr, within: Duration, core: mpsc::Sender<Arrival>) {
     let told = match tokio::time::timeout(within, TcpStream::connect(to)).await {
-        Ok(Ok(stream)) => {
-            Arrival { input: Input::ServerUp(conn), line: Some(Line::new(stream, SERVER_PATIENCE, None)) }
-        }
+        Ok(Ok(stream)) => Arrival::new(Input::ServerUp(conn), Some(Line::new(stream, SERVER_PATIENCE, None))),
         Ok(Err(error)) => Input::DialFailed(conn, error.kind() == io::ErrorKind::ConnectionRefused).into(),
         Err(_) => Input::DialFailed(conn, false).into(),
     };
--- a/crates/node/src/coat/outside/tests.rs
+++ b/crates/node/src/coat/outside/tests.rs
@@ -39,7 +39,7 @@
         deaf.notify_one();
         listen(listener, core, Arc::new(Semaphore::new(3)), deaf).await;
         let mut taken = Vec::new();
-        while let Ok(Arrival { input: Input::CallerUp(link, _), line: Some(line) }) = inputs.try_recv() {
+        while let Ok(Arrival { input: Input::CallerUp(link, _), line: Some(line), .. }) = inputs.try_recv() {
             taken.push((link, line));
         }
         assert_eq!(taken.len(), 100);
