--- a/src/policy.rs
+++ b/src/policy.rs
@@ -768,8 +768,8 @@
             return;
         };
         let class = self.settings.classes.get(pending.call.class);
-        // Guards against a repeat that was in time when it was decided on, and waited for a pace or a connection: its
-        // window counts where it begins.
+        // Guards against a repeat that was in time when it was decided on, and waited for a pace or a
+        // connection: its window counts where it begins.
         let window = match (pending.may_have_run, class.map(|class| class.repeat)) {
             (Some(at), Some(Repeat::Within(window))) => at.saturating_add(window).saturating_sub(now),
             _ => Micros::MAX,
