After a standstill all sockets are looked at for a millisecond before anything is sent

Seen: a_process_that_stood_still failed in 3 of 4 plays beside other load, with 25, 41 and 52 of 3,000 callers sent for over 0.1 s after they had left: repeats that were due when the process woke. The rest: a yield ends at any waking, and a LocalSet runs 61 tasks a turn, so that read_on could end before the driver or all readers had run. Change: a timer's lateness asks for a look; a look is a sleep of 1 ms.

--- a/crates/node/src/coat/mod.rs
+++ b/crates/node/src/coat/mod.rs
@@ -26,6 +26,8 @@
 /// Inputs that are put in order at once, and their bytes: more than one caller may have in set-up, so that its close is
 /// seen behind them.
 const TURN: (usize, usize) = (2_048, 2 << 20);
+/// A look at the sockets, where one is needed, takes so long.
+const LOOK_FOR: Duration = Duration::from_millis(1);
 /// Rounds of reading at the most before timers fire after all.
 const ROUNDS: usize = 64;
 /// What was read is good for so long: then it is looked again whether a caller has left or a call was answered, before
@@ -216,7 +218,10 @@
         };
         self.collect();
         self.read_at = since;
-        since.elapsed() < LATELY.0 && self.turn.len() < LATELY.1
+        // Guards against a standstill that is told by nothing but a timer's lateness: what comes first after it was read
+        // just now, and the closes of other callers lie unread, with repeats for them due.
+        let on_time = wake.elapsed() < LATELY.0;
+        on_time && since.elapsed() < LATELY.0 && self.turn.len() < LATELY.1
     }
 
     /// Takes over what readers have told, within bounds.
@@ -236,9 +241,9 @@
         for _ in 0..ROUNDS {
             // Before the sockets are looked at: guards against a standstill between that look and this line.
             self.read_at = Instant::now();
-            // Once for the sockets to be looked at, once for their readers to run.
-            tokio::task::yield_now().await;
-            tokio::task::yield_now().await;
+            // The sockets are looked at and all their readers run meanwhile. Not a yield, which ends as soon as anything
+            // else wakes this task, with some readers or the sockets themselves not looked at yet.
+            tokio::time::sleep(LOOK_FOR).await;
             let before = self.turn.len();
             self.collect();
             if self.turn.len() == before {
