--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 //! 2 if the case could not run.
 
 mod common;
+mod duplicate;
 mod lost;
 
 use std::path::Path;
@@ -12,9 +13,10 @@
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
     let run: fn(&Record) -> Res<bool> = match args.get(1).map(String::as_str) {
+        Some("duplicate") => duplicate::run,
         Some("lost") => lost::run,
         _ => {
-            eprintln!("usage: cases lost RECORD");
+            eprintln!("usage: cases duplicate|lost RECORD");
             return ExitCode::from(2);
         }
     };
