--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -180,7 +180,14 @@
 
 impl Listed {
     pub fn new(name: &str, address: SocketAddr, number: u16) -> Self {
-        Self { name: name.to_owned(), address, zone: "austin".to_owned(), number, draining: false, started_ms: 0 }
+        Self {
+            name: name.to_owned(),
+            address,
+            zone: "austin".to_owned(),
+            number,
+            draining: false,
+            started_ms: 0,
+        }
     }
 
     pub fn in_zone(self, zone: &str) -> Self {
@@ -248,8 +255,11 @@
         let std::net::IpAddr::V4(ip) = server.address.ip() else { return None };
         dns_record(&host(server), 1, &ip.octets(), &mut out);
         let mut txt = Vec::new();
-        let texts =
-            ["kind=std-1".to_owned(), format!("cell={}", server.number), format!("started={}", server.started_ms)];
+        let texts = [
+            "kind=std-1".to_owned(),
+            format!("cell={}", server.number),
+            format!("started={}", server.started_ms),
+        ];
         for text in texts {
             txt.push(text.len() as u8);
             txt.extend(text.as_bytes());
@@ -279,7 +289,8 @@
                     continue;
                 }
                 let query = buffer[..size].to_vec();
-                let (socket, record, list, told) = (socket.clone(), record.clone(), list.clone(), told.clone());
+                let (socket, record, list, told) =
+                    (socket.clone(), record.clone(), list.clone(), told.clone());
                 let wait = delay.load(SeqCst);
                 let came = record.now();
                 let send = move || {
@@ -291,7 +302,10 @@
                     lock(&told).entry(serial).or_insert(now);
                     if wait > 0 {
                         let port = from.port();
-                        record.put("names", &format!("query of {came:.1} from port {port}: serial {serial} sent {sent}"));
+                        record.put(
+                            "names",
+                            &format!("query of {came:.1} from port {port}: serial {serial} sent {sent}"),
+                        );
                     }
                 };
                 if wait == 0 {
@@ -349,7 +363,14 @@
 }
 
 /// The configuration with settings of the small deployment austin-main.
-pub fn config(name: &str, listen: SocketAddr, names: SocketAddr, ordinal: u32, fronts: u32, known: &[Listed]) -> String {
+pub fn config(
+    name: &str,
+    listen: SocketAddr,
+    names: SocketAddr,
+    ordinal: u32,
+    fronts: u32,
+    known: &[Listed],
+) -> String {
     let endpoints: Vec<_> = known
         .iter()
         .map(|s| {
@@ -426,7 +447,9 @@
                 let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
                 let test = Message::new(TEST, 7).with(171, &[0]).bytes();
                 let mut buffer = [0; 64];
-                if stream.write_all(&test).is_ok() && stream.read(&mut buffer).is_ok_and(|n| n > 2 && buffer[2] == TEST_RESULT) {
+                if stream.write_all(&test).is_ok()
+                    && stream.read(&mut buffer).is_ok_and(|n| n > 2 && buffer[2] == TEST_RESULT)
+                {
                     record.put(&self.name, "ready");
                     return Ok(());
                 }
@@ -526,7 +549,11 @@
 const ANSWER_MS: u64 = 20;
 
 impl Server {
-    pub fn start(record: &Record, name: &str, hold_ms: impl Fn(u64) -> u64 + Send + Sync + 'static) -> Res<Self> {
+    pub fn start(
+        record: &Record,
+        name: &str,
+        hold_ms: impl Fn(u64) -> u64 + Send + Sync + 'static,
+    ) -> Res<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
         let address = listener.local_addr().map_err(|e| e.to_string())?;
         let own = Self {
@@ -604,7 +631,8 @@
             state.current.remove(call);
         }
         drop(state);
-        self.record.put(&self.name, &format!("connection {conn} closed, {} open set-ups given up", given_up.len()));
+        self.record
+            .put(&self.name, &format!("connection {conn} closed, {} open set-ups given up", given_up.len()));
     }
 
     fn handle(&self, conn: u64, message: &Message) {
@@ -625,7 +653,10 @@
                 std::thread::spawn(move || server.run(conn, call, at, &offer));
             }
             RELEASE => {
-                self.record.put(&self.name, &format!("release {call:016x} from the front node, cause {}", message.cause()));
+                self.record.put(
+                    &self.name,
+                    &format!("release {call:016x} from the front node, cause {}", message.cause()),
+                );
                 let mut state = lock(&self.state);
                 if let Some(at) = state.current.remove(&call) {
                     state.attempts[at].end = Some((now, End::Released));
@@ -667,11 +698,13 @@
         state.current.remove(&call);
         state.attempts[at].end = Some((self.record.now(), end));
         let own = state.attempts[at].conn;
-        let conn = if state.conns.contains_key(&own) { Some(own) } else { state.conns.keys().next().copied() };
+        let conn =
+            if state.conns.contains_key(&own) { Some(own) } else { state.conns.keys().next().copied() };
         let message = Message::release(call, cause).with(156, REPORT);
         state.repeat.push(message.clone());
         drop(state);
-        self.record.put(&self.name, &format!("release {call:016x} cause {cause} on {conn:?}: the call has ended"));
+        self.record
+            .put(&self.name, &format!("release {call:016x} cause {cause} on {conn:?}: the call has ended"));
         if let Some(conn) = conn {
             self.write(conn, &message);
         }
@@ -775,7 +808,10 @@
                 }
             }
             (RELEASE, None) => {
-                self.record.put(&self.name, &format!("release {call:016x} cause {} of a call of somebody else", message.cause()));
+                self.record.put(
+                    &self.name,
+                    &format!("release {call:016x} cause {} of a call of somebody else", message.cause()),
+                );
                 lock(&self.foreign).push((now, call));
             }
             _ => {}
@@ -828,7 +864,8 @@
             let _ = (near.set_nodelay(true), far.set_nodelay(true));
             let (Ok(near_out), Ok(far_out)) = (near.try_clone(), far.try_clone()) else { continue };
             let dead = Arc::new(AtomicBool::new(false));
-            let (record, name, judge, dead_back) = (record.clone(), name.clone(), judge.clone(), dead.clone());
+            let (record, name, judge, dead_back) =
+                (record.clone(), name.clone(), judge.clone(), dead.clone());
             std::thread::spawn(move || forward(near, far_out, &dead));
             std::thread::spawn(move || back(&record, &name, far, near_out, &dead_back, &*judge));
         }
--- a/review/standin/duplicate.rs
+++ b/review/standin/duplicate.rs
@@ -20,17 +20,28 @@
     let answers = AtomicU64::new(0);
     let on = trouble();
     let to_one = proxy(record, "network", one.address, move |message| {
-        let lost = on && message.kind == ANSWER && answers.fetch_add(1, SeqCst) % LOST_ONE_IN == LOST_ONE_IN - 1;
-        if lost { Verdict::LoseAndReset } else { Verdict::Pass }
+        let lost =
+            on && message.kind == ANSWER && answers.fetch_add(1, SeqCst) % LOST_ONE_IN == LOST_ONE_IN - 1;
+        if lost {
+            Verdict::LoseAndReset
+        } else {
+            Verdict::Pass
+        }
     })?;
     let list = vec![Listed::new("s-one", to_one, 0), Listed::new("s-two", two.address, 1)];
     let names = NameServer::start(record, list.clone())?;
     let address = free_address()?;
-    let mut node = Node::start(record, &dir, "n0", address, &config("n0", address, names.address, 0, 1, &list))?;
+    let mut node =
+        Node::start(record, &dir, "n0", address, &config("n0", address, names.address, 0, 1, &list))?;
     let caller = Caller::connect(record, "caller", address)?;
     sleep_ms(500);
     for call in 1..=CALLS {
-        caller.call(call, ["grid-load", "answer-check", "progress-save"][call as usize % 3], 3_000, (call % 2) as u16);
+        caller.call(
+            call,
+            ["grid-load", "answer-check", "progress-save"][call as usize % 3],
+            3_000,
+            (call % 2) as u16,
+        );
         sleep_ms(PAUSE_MS);
     }
     sleep_ms(HOLD_MS + 4_000);
@@ -38,8 +49,10 @@
         return Err("the front node has ended".to_owned());
     }
     let (mut broken, mut twice_ms) = (0, 0.0);
-    let attempts: Vec<_> =
-        [&one, &two].into_iter().flat_map(|s| s.attempts().into_iter().map(|a| (s.name.clone(), a))).collect();
+    let attempts: Vec<_> = [&one, &two]
+        .into_iter()
+        .flat_map(|s| s.attempts().into_iter().map(|a| (s.name.clone(), a)))
+        .collect();
     for call in 1..=CALLS {
         let mut own: Vec<_> = attempts.iter().filter(|(_, a)| a.call == call).collect();
         own.sort_by(|a, b| a.1.came.total_cmp(&b.1.came));
--- a/review/standin/lost.rs
+++ b/review/standin/lost.rs
@@ -21,10 +21,14 @@
     let one = Server::start(record, "s-one", hold)?;
     let two = Server::start(record, "s-two", hold)?;
     let network = Network::start(record, one.address)?;
-    let list = vec![Listed::new("s-one", network.address, 0).in_zone("dallas"), Listed::new("s-two", two.address, 1)];
+    let list = vec![
+        Listed::new("s-one", network.address, 0).in_zone("dallas"),
+        Listed::new("s-two", two.address, 1),
+    ];
     let names = NameServer::start(record, list.clone())?;
     let address = free_address()?;
-    let mut node = Node::start(record, &dir, "n0", address, &config("n0", address, names.address, 0, 5, &list))?;
+    let mut node =
+        Node::start(record, &dir, "n0", address, &config("n0", address, names.address, 0, 5, &list))?;
     let caller = Caller::connect(record, "caller", address)?;
     sleep_ms(500);
     let start = record.now();
@@ -52,7 +56,9 @@
     let (mut over, mut late, mut never) = (0, 0, 0);
     for server in [&one, &two] {
         for attempt in server.attempts() {
-            let (Some(own), Some((end, End::Written))) = (seen.get(&attempt.call), attempt.end) else { continue };
+            let (Some(own), Some((end, End::Written))) = (seen.get(&attempt.call), attempt.end) else {
+                continue;
+            };
             // Only the attempt whose answer the caller has: another one of the same call concerns no caller.
             if own.stands.as_ref().is_none_or(|(_, at)| *at != server.name) {
                 continue;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 //! 2 if the case could not run.
 
 mod common;
+mod drain;
 mod duplicate;
 mod lost;
 
@@ -14,15 +15,20 @@
     let args: Vec<String> = std::env::args().collect();
     let run: fn(&Record) -> Res<bool> = match args.get(1).map(String::as_str) {
         Some("duplicate") => duplicate::run,
+        Some("drain") => drain::run,
         Some("lost") => lost::run,
         _ => {
-            eprintln!("usage: cases duplicate|lost RECORD");
+            eprintln!("usage: cases duplicate|drain|lost RECORD");
             return ExitCode::from(2);
         }
     };
     let path = args.get(2).map_or("record.txt", String::as_str);
     let done = Record::new(Path::new(path)).and_then(|record| {
-        record.say(if common::trouble() { "with the disruption" } else { "TROUBLE=0: without the disruption" });
+        record.say(if common::trouble() {
+            "with the disruption"
+        } else {
+            "TROUBLE=0: without the disruption"
+        });
         let kept = run(&record)?;
         record.say(if kept { "the rule held" } else { "THE RULE WAS BROKEN" });
         Ok(kept)
