--- a/review/standin/lost.rs
+++ b/review/standin/lost.rs
@@ -5,12 +5,14 @@
 use crate::common::*;
 
 const HOLD_FROM_MS: u64 = 2_000;
-const HOLD_SPAN_MS: u64 = 4_000;
-/// Calls come in groups, as many at each signalling server.
-const GROUP: u64 = 6;
-const PAUSE_MS: u64 = 500;
+const HOLD_SPAN_MS: u64 = 6_000;
+/// Calls come in bursts, half for each signalling server.
+const GROUP: u64 = 14;
+const PAUSE_MS: u64 = 1_500;
 const CUT_AT_MS: f64 = 8_000.0;
-const CUT_MS: u64 = 1_850;
+/// From the group before the partition to its start.
+const CUT_AFTER_GROUP_MS: u64 = 700;
+const CUT_MS: u64 = 1_600;
 const LAST_CALL_MS: f64 = 14_000.0;
 /// A release that could not be sent follows within this time, with the slack of the rules on sockets.
 const TOLD_MS: f64 = 8_000.0 + 50.0;
@@ -36,7 +38,10 @@
     while record.now() - start < LAST_CALL_MS {
         if trouble() && record.now() - start >= CUT_AT_MS && cutting.is_none() {
             let network = network.clone();
-            cutting = Some(std::thread::spawn(move || network.cut_for(CUT_MS)));
+            cutting = Some(std::thread::spawn(move || {
+                sleep_ms(CUT_AFTER_GROUP_MS);
+                network.cut_for(CUT_MS)
+            }));
         }
         for _ in 0..GROUP {
             call += 1;
