A replacement connection that does not come up is dialled again

Cause: a signalling server repeats a release on the next connection that is opened. `Servers::dial` cleared the mark for that connection when it was dialled. A dial that failed used it up, and `dial_failures` above 0 holds the target at one connection, which was up. The log shows six connections closed ("ping timed out"), six replacements "not up, refused false" 0.5 s later, and no dial in the 20 s after. Ruled out by trace: none of the eight calls has a release after "established".

Change: a break is settled by a connection dialled after it that came up (`replacement_from`); until then one is dialled at a time, at the pace of failed dials. It is given up after a failed dial where no call is established, so that a server at its cap is not dialled without need.

Test: replacement_that_does_not_come_up_is_dialled_again fails before ("dial 1"); replacement_that_no_call_needs_is_dialled_once fails when the give-up is taken out.

--- a/crates/node/src/state/servers.rs
+++ b/crates/node/src/state/servers.rs
@@ -123,8 +123,8 @@
     dial_at: Micros,
     /// Start of the time without an established connection.
     down_since: Option<Micros>,
-    /// A connection broke and no replacement was dialled since.
-    replace_broken: bool,
+    /// A connection broke, and no connection dialled since then has come up: the lowest id of one that was.
+    replacement_from: Option<ConnId>,
 }
 
 impl Server {
@@ -135,6 +135,23 @@
         }
         self.pending_releases.push_back(call);
     }
+
+    /// Whether a broken connection has no replacement yet, not even one that is being dialled.
+    fn lacks_replacement(&self) -> bool {
+        self.replacement_from.is_some_and(|from| self.conns.range(from..).next().is_none())
+    }
+
+    /// Records that a connection came up; one dialled after the last break replaces the broken ones.
+    fn record_replacement(&mut self, conn: ConnId) {
+        self.replacement_from = self.replacement_from.filter(|from| conn < *from);
+    }
+
+    /// Records that a dial failed; a replacement is given up if no established call needs it.
+    fn record_failed_dial(&mut self, now: Micros) {
+        self.dial_at = now + (REDIAL_PAUSE_MIN << self.dial_failures.min(8)).min(REDIAL_PAUSE_MAX);
+        self.dial_failures += 1;
+        self.replacement_from = self.replacement_from.filter(|_| !self.established.is_empty());
+    }
 }
 
 /// All signalling servers and the connections to them.
@@ -296,7 +313,9 @@
         // Guards against ends of calls that were lost with a connection: their server repeats them only on
         // the next connection that is opened, and it may be long until a set-up needs one.
         let replacements = usize::from(
-            server.replace_broken && server.listed.is_some() && server.conns.len() < 2 * CONNS_PER_SERVER_MAX,
+            server.lacks_replacement()
+                && server.listed.is_some()
+                && server.conns.len() < 2 * CONNS_PER_SERVER_MAX,
         );
         let replacements = replacements.max(usize::from(!dialling && self.needs_extra_conn(server)));
         let missing = target.saturating_sub(server.conns.len()).max(replacements).min(2);
@@ -317,7 +336,6 @@
             self.conns.insert(conn, new_conn);
             if let Some(server) = self.by_id.get_mut(&id) {
                 server.conns.insert(conn);
-                server.replace_broken = false;
             }
             out.push(Output::Dial(conn, address));
         }
@@ -329,7 +347,9 @@
         let none_up = self.any_up_conn(conn.server).is_none();
         if let Some(server) = self.by_id.get_mut(&conn.server) {
             server.conns.remove(&id);
-            server.replace_broken |= conn.up;
+            if conn.up {
+                server.replacement_from = Some(ConnId(self.next_conn));
+            }
             if none_up {
                 server.down_since.get_or_insert(now);
             }
@@ -447,6 +467,7 @@
         let owner = conn.server;
         let Some(server) = self.servers.by_id.get_mut(&owner) else { return };
         (server.dial_failures, server.down_since) = (0, None);
+        server.record_replacement(id);
         let (waiting, releases) =
             (std::mem::take(&mut server.waiting), std::mem::take(&mut server.pending_releases));
         let ready = server.listed == Some(ServerState::Ready);
@@ -476,8 +497,7 @@
             // The server works but accepts no further connection.
             server.pool_limit.get_or_insert(pool_limit).record_refusal(now, up);
         }
-        server.dial_at = now + (REDIAL_PAUSE_MIN << server.dial_failures.min(8)).min(REDIAL_PAUSE_MAX);
-        server.dial_failures += 1;
+        server.record_failed_dial(now);
         if up > 0 {
             return;
         }
@@ -760,12 +780,12 @@
             return;
         }
         let Some((surplus, _)) = up.into_iter().find(|(conn, idle)| *idle && !used(conn)) else { return };
-        let replace_broken = server.replace_broken;
+        let replacement_from = server.replacement_from;
         out.push(Output::CloseServer(surplus));
         self.servers.remove(self.now, surplus);
         if let Some(server) = self.servers.by_id.get_mut(&id) {
             // It did not break: no message was lost with it.
-            server.replace_broken = replace_broken;
+            server.replacement_from = replacement_from;
         }
     }
 }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -136,6 +136,17 @@
         }
     }
 
+    /// Advances the clock while all servers answer pings.
+    pub fn advance_with_ping_replies(&mut self, span: Micros) {
+        let end = self.now + span;
+        while self.now < end {
+            self.advance((500 * MS).min(end - self.now));
+            for conn in self.all_dials.keys().copied().collect::<Vec<_>>() {
+                self.server_sends(conn, Message::health_check_passed(call(0)));
+            }
+        }
+    }
+
     /// Lets all pending dials succeed.
     pub fn connect_all(&mut self) {
         for (conn, _) in std::mem::take(&mut self.dialled) {
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -252,6 +252,40 @@
     assert_eq!(harness.all_dials.len(), before + 1, "each is replaced once");
 }
 
+/// Guards against ends of calls that are never fetched after a partition: a replacement that does not come up
+/// is dialled again, also while other connections to the server work, until one is up.
+#[test]
+fn replacement_that_does_not_come_up_is_dialled_again() {
+    let mut harness = Harness::connected();
+    let broken = harness.establish(7);
+    harness.connect_all();
+    harness.handle(Input::ServerDown(broken));
+    for round in 0..4 {
+        let (replacement, _) = harness.dialled.pop_first().unwrap_or_else(|| panic!("dial {round}"));
+        harness.advance_with_ping_replies(500 * MS);
+        harness.handle(Input::DialFailed(replacement, false));
+        // The pause after a failed dial is at most 1 s.
+        harness.advance_with_ping_replies(1_100 * MS);
+    }
+    assert!(harness.closed_servers.is_empty(), "the other connections work: {:?}", harness.closed_servers);
+    let (replacement, _) = harness.dialled.pop_first().expect("dialled until one is up");
+    harness.handle(Input::ServerUp(replacement));
+    harness.server_sends(replacement, Message::release(call(7), Cause::NORMAL));
+    assert_eq!(harness.sent_to_caller(7).last(), Some(&(1, MessageType::Release, Some(Cause::NORMAL))));
+}
+
+/// Guards against endless dials to a server at its connection cap: a replacement that does not come up is
+/// given up when no call is established there, since no end can have been lost.
+#[test]
+fn replacement_that_no_call_needs_is_dialled_once() {
+    let mut harness = Harness::connected();
+    harness.handle(Input::ServerDown(ConnId(1)));
+    let (replacement, _) = harness.dialled.pop_first().expect("dialled");
+    harness.handle(Input::DialFailed(replacement, true));
+    harness.advance_with_ping_replies(3 * SECOND);
+    assert!(harness.dialled.is_empty(), "{:?}", harness.dialled);
+}
+
 #[test]
 fn end_of_call_is_accepted_on_the_connection_of_an_earlier_attempt() {
     let (mut harness, first) = after_a_reset();
--- a/crates/node/tests/termination.rs
+++ b/crates/node/tests/termination.rs
@@ -30,15 +30,6 @@
     harness.handle(Input::DiscoveryAnswer(list_answer(&query, serial, servers).expect("it is a query")));
 }
 
-/// Advances the clock while all servers answer pings.
-fn advance_with_ping_replies(harness: &mut Harness, span: u64) {
-    for _ in 0..span / (500 * MS) {
-        harness.advance(500 * MS);
-        let conns: Vec<_> = harness.all_dials.keys().copied().collect();
-        conns.into_iter().for_each(|conn| harness.server_sends(conn, Message::health_check_passed(call(0))));
-    }
-}
-
 // --- attempts that wait for a connection ---
 
 /// Guards against a call refused by each server whose next attempt there waits for a connection that is never
@@ -235,7 +226,7 @@
 fn last_list_stays_valid_until_a_new_one_arrives() {
     let mut harness = Harness::connected();
     let conn = harness.establish(6);
-    advance_with_ping_replies(&mut harness, 30 * SECOND);
+    harness.advance_with_ping_replies(30 * SECOND);
     harness.caller_sends(1, set_up(7, "3000"));
     let served = harness.set_up_conn(7).expect("served by the last list");
     harness.server_sends(served, answer(7));
@@ -379,9 +370,9 @@
         harness.caller_sends(1, set_up(7, "9000"));
         assert_eq!(harness.set_up_count(7), 1);
         harness.handle(Input::Stop);
-        advance_with_ping_replies(&mut harness, 3 * SECOND);
+        harness.advance_with_ping_replies(3 * SECOND);
         assert!(harness.sent_to_caller(7).is_empty());
-        advance_with_ping_replies(&mut harness, SECOND);
+        harness.advance_with_ping_replies(SECOND);
         assert_eq!(harness.sent_to_caller(7), [(1, MessageType::Release, Some(cause))], "{effect}");
         assert_eq!(harness.releases_sent(7).len(), 1);
     }
