Set-ups on a connection that ends are released at their server

Cause: `server_down` forgot the unanswered attempts before it told the engine, so the release that the engine asked for was dropped as one for an unknown attempt.

Evidence: for call 14 the trace has "connection 3 down, 1 set-ups unanswered", "Reset", no release with two connections up, and a set-up at the other server 303 ms later; the first server ended the call after 6 s. Ruled out: a resend within the hold-off (303 ms), a release lost on its way (none was written).

Change: `send_release` for each unanswered set-up of the connection, on any other one or first on the next, which is dialled at once. It reaches the server before the hold-off of 300 ms ends wherever a connection is up or comes up by then. A server that refuses connections does not delay the exit.

--- a/crates/node/src/state/servers.rs
+++ b/crates/node/src/state/servers.rs
@@ -117,6 +117,8 @@
     /// Calls whose releases wait for a connection.
     pending_releases: VecDeque<CallId>,
     dial_failures: u32,
+    /// The last dial was refused while no connection was established.
+    refuses: bool,
     /// Limit on its connections; `None` until it refuses one.
     pool_limit: Option<PoolLimit>,
     /// Earliest time of the next dial.
@@ -223,9 +225,10 @@
         std::mem::take(&mut self.restarted)
     }
 
-    /// Whether a release waits for a connection to a listed server.
+    /// Whether a release waits for a connection to a listed server that may still hold calls.
     pub(super) fn has_pending_releases(&self) -> bool {
-        self.by_id.values().any(|server| server.listed.is_some() && !server.pending_releases.is_empty())
+        let may_hold_calls = |server: &Server| server.listed.is_some() && !server.refuses;
+        self.by_id.values().any(|server| may_hold_calls(server) && !server.pending_releases.is_empty())
     }
 
     /// Records an established call at a server, which need not be on the list.
@@ -431,21 +434,31 @@
             }
             return;
         }
-        if !established {
-            // A set-up whose connection is closed has ended with it.
-            let Some(conn) = own_conn else { return };
-            if let Some(conn) = self.servers.conns.get_mut(&conn) {
-                conn.unanswered.remove(&call);
-                conn.finished.push(self.now, call);
+        if established {
+            if let Some(known) = self.servers.by_id.get_mut(&server) {
+                known.established.remove(&call);
             }
+        } else if let Some(conn) = own_conn.and_then(|conn| self.servers.conns.get_mut(&conn)) {
+            conn.unanswered.remove(&call);
+            conn.finished.push(self.now, call);
+        }
+        self.send_release(server, call, own_conn, out);
+    }
+
+    /// Releases a call at a server: on `preferred` if given, else on any established connection, else on the
+    /// next one that comes up.
+    fn send_release(
+        &mut self,
+        server: ServerId,
+        call: CallId,
+        preferred: Option<ConnId>,
+        out: &mut Vec<Output>,
+    ) {
+        if let Some(conn) = preferred.or_else(|| self.servers.any_up_conn(server)) {
             return write(out, conn, &Message::release(call, Cause::NORMAL));
         }
-        let any = own_conn.or_else(|| self.servers.any_up_conn(server));
-        let Some(known) = self.servers.by_id.get_mut(&server) else { return };
-        known.established.remove(&call);
-        match any {
-            Some(conn) => write(out, conn, &Message::release(call, Cause::NORMAL)),
-            None => known.queue_release(call),
+        if let Some(known) = self.servers.by_id.get_mut(&server) {
+            known.queue_release(call);
         }
     }
 
@@ -466,7 +479,7 @@
         tracing::debug!("{:x}: connection {} up", conn.server, id.0);
         let owner = conn.server;
         let Some(server) = self.servers.by_id.get_mut(&owner) else { return };
-        (server.dial_failures, server.down_since) = (0, None);
+        (server.dial_failures, server.refuses, server.down_since) = (0, false, None);
         server.record_replacement(id);
         let (waiting, releases) =
             (std::mem::take(&mut server.waiting), std::mem::take(&mut server.pending_releases));
@@ -498,6 +511,7 @@
             server.pool_limit.get_or_insert(pool_limit).record_refusal(now, up);
         }
         server.record_failed_dial(now);
+        server.refuses = refused && up == 0;
         if up > 0 {
             return;
         }
@@ -539,8 +553,9 @@
         established
     }
 
-    /// Handles the end of an established connection: unanswered set-ups on it may have taken effect and end
-    /// as reset. Established calls are not affected.
+    /// Handles the end of an established connection: unanswered set-ups on it end as reset, and are released,
+    /// since a call whose answer was lost is established and outlives the connection. Calls known to be
+    /// established are not affected.
     pub(super) fn server_down(&mut self, id: ConnId, out: &mut Vec<Output>) {
         let Some(conn) = self.servers.remove(self.now, id) else { return };
         tracing::debug!(
@@ -550,6 +565,10 @@
             conn.unanswered.len()
         );
         self.counts.broken += u64::from(!conn.unanswered.is_empty());
+        // Guards against a call that is established here while it is set up at another server.
+        for call in conn.unanswered.keys() {
+            self.send_release(conn.server, *call, None, out);
+        }
         // Dialled before the engine retries the unanswered set-ups, so that they find a connection.
         self.servers.dial(self.now, conn.server, false, out);
         for attempt in conn.unanswered.into_values() {
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -31,6 +31,21 @@
     Config::read(text.as_bytes()).expect("a valid test configuration")
 }
 
+/// Builds a configuration with text replacements.
+pub fn config_with(servers: &[Listed], changes: &[(&str, &str)]) -> Config {
+    let mut text = relay_config(([127, 0, 0, 1], 9).into(), servers);
+    for (from, to) in changes {
+        assert!(text.contains(from), "{from} is not in the configuration");
+        text = text.replace(from, to);
+    }
+    Config::read(text.as_bytes()).expect("the test's configuration")
+}
+
+/// Builds the configuration of one of 300 front nodes, which keeps one connection per server.
+pub fn config_of_large_fleet(servers: &[Listed]) -> Config {
+    config_with(servers, &[("\"balancers\":1", "\"balancers\":300")])
+}
+
 /// Builds a caller's set-up.
 pub fn set_up(id: u64, wait_ms: &str) -> Message {
     Message::new(MessageType::SetUp, call(id))
