A release is repeated when the connection it was written to breaks

Cause: as before, what is owed to a server ended with one connection.

Change: a connection remembers its releases for 2.2 s, longer than a silent connection is kept (1 s idle, 1 s without a ping's reply), and they are sent again when it breaks: on another connection or first on the next. Bytes written to a broken connection may have been read, so a release may come twice, which a server takes for one of an unknown call. It is not repeated where the call has been set up at that server again.

Tests: release_is_repeated_when_its_connection_breaks and callers_release_is_repeated_when_its_connection_breaks fail before; release_is_not_repeated_once_the_call_is_set_up_there_again fails without that condition.

--- a/crates/node/src/state/servers.rs
+++ b/crates/node/src/state/servers.rs
@@ -48,6 +48,11 @@
 const UNCLAIMED_ENDS_MAX: usize = 1_024;
 /// How long the end of an unknown call is kept.
 const UNCLAIMED_ENDS_TTL: Micros = 8_000_000;
+/// Maximum number of releases that a connection remembers.
+const SENT_RELEASES_MAX: usize = 512;
+/// How long a connection remembers a release: longer than a silent connection is kept, since one that was
+/// written to a connection which then breaks may not have been read.
+const SENT_RELEASES_TTL: Micros = PING_AFTER_IDLE + PING_TIMEOUT + 200_000;
 /// Maximum number of releases that wait for a connection to one server.
 const PENDING_RELEASES_MAX: usize = 1_000;
 
@@ -89,6 +94,8 @@
     unanswered: BTreeMap<CallId, AttemptId>,
     /// Calls that finished on this connection.
     finished: ExpiringQueue<CallId>,
+    /// Calls released on this connection.
+    releases: ExpiringQueue<CallId>,
     /// Time of the last message received.
     received_at: Micros,
     /// Time of the unanswered ping.
@@ -275,6 +282,13 @@
         free.min_by_key(|(id, conn)| (conn.unanswered.len(), *id)).map(|(id, _)| id)
     }
 
+    /// Whether a set-up of this call is unanswered or established at the server.
+    fn has_set_up(&self, server: ServerId, call: CallId) -> bool {
+        let established =
+            self.by_id.get(&server).is_some_and(|server| server.established.contains_key(&call));
+        established || self.up_conns(server).any(|(_, conn)| conn.unanswered.contains_key(&call))
+    }
+
     fn any_up_conn(&self, server: ServerId) -> Option<ConnId> {
         self.up_conns(server).next().map(|(id, _)| id)
     }
@@ -332,6 +346,7 @@
                 up: false,
                 unanswered: BTreeMap::new(),
                 finished: ExpiringQueue::new((FINISHED_CALLS_MAX, FINISHED_CALLS_TTL)),
+                releases: ExpiringQueue::new((SENT_RELEASES_MAX, SENT_RELEASES_TTL)),
                 received_at: now,
                 pinged_at: None,
                 partial_since: None,
@@ -455,13 +470,20 @@
         out: &mut Vec<Output>,
     ) {
         if let Some(conn) = preferred.or_else(|| self.servers.any_up_conn(server)) {
-            return write(out, conn, &Message::release(call, Cause::NORMAL));
+            return self.write_release(conn, call, out);
         }
         if let Some(known) = self.servers.by_id.get_mut(&server) {
             known.queue_release(call);
         }
     }
 
+    fn write_release(&mut self, id: ConnId, call: CallId, out: &mut Vec<Output>) {
+        if let Some(conn) = self.servers.conns.get_mut(&id) {
+            conn.releases.push(self.now, call);
+        }
+        write(out, id, &Message::release(call, Cause::NORMAL));
+    }
+
     /// Reports to the engine an attempt that ended without establishing its call.
     fn end_attempt(&mut self, attempt: AttemptId, end: AttemptEnd, out: &mut Vec<Output>) {
         // Removed first: the server holds nothing that the engine's release would end.
@@ -485,7 +507,7 @@
             (std::mem::take(&mut server.waiting), std::mem::take(&mut server.pending_releases));
         let ready = server.listed == Some(ServerState::Ready);
         for call in releases {
-            write(out, id, &Message::release(call, Cause::NORMAL));
+            self.write_release(id, call, out);
         }
         for attempt in waiting {
             // Checked again before writing: the server may have announced its drain meanwhile, and the latest
@@ -554,10 +576,10 @@
     }
 
     /// Handles the end of an established connection: unanswered set-ups on it end as reset, and are released,
-    /// since a call whose answer was lost is established and outlives the connection. Calls known to be
-    /// established are not affected.
+    /// since a call whose answer was lost is established and outlives the connection. Releases that may not
+    /// have been read are repeated. Calls known to be established are not affected.
     pub(super) fn server_down(&mut self, id: ConnId, out: &mut Vec<Output>) {
-        let Some(conn) = self.servers.remove(self.now, id) else { return };
+        let Some(mut conn) = self.servers.remove(self.now, id) else { return };
         tracing::debug!(
             "{:x}: connection {} down, {} set-ups unanswered",
             conn.server,
@@ -566,8 +588,11 @@
         );
         self.counts.broken += u64::from(!conn.unanswered.is_empty());
         // Guards against a call that is established here while it is set up at another server.
-        for call in conn.unanswered.keys() {
-            self.send_release(conn.server, *call, None, out);
+        let unread =
+            conn.releases.take_matching(self.now, |call| !self.servers.has_set_up(conn.server, *call));
+        let owed: BTreeSet<_> = conn.unanswered.keys().copied().chain(unread).collect();
+        for call in owed {
+            self.send_release(conn.server, call, None, out);
         }
         // Dialled before the engine retries the unanswered set-ups, so that they find a connection.
         self.servers.dial(self.now, conn.server, false, out);
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -169,6 +169,15 @@
         }
     }
 
+    /// Breaks all established connections to servers.
+    pub fn break_all_conns(&mut self) {
+        let dialling = |conn: &ConnId| self.dialled.contains_key(conn);
+        let up: Vec<_> = self.all_dials.keys().copied().filter(|conn| !dialling(conn)).collect();
+        for conn in up {
+            self.handle(Input::ServerDown(conn));
+        }
+    }
+
     pub fn caller(&mut self, link: u64) {
         self.caller_from(link, [10, 0, 0, 1].into());
     }
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -118,6 +118,65 @@
     }
 }
 
+/// Guards against a release that is lost with the connection it was written to: all connections to the
+/// server are reset, and the first reset's release is written to the second one.
+#[test]
+fn release_is_repeated_when_its_connection_breaks() {
+    let mut harness = Harness::new(&config(&[server_one()]));
+    harness.connect_all();
+    harness.caller(1);
+    harness.caller_sends(1, set_up(7, "3000"));
+    harness.break_all_conns();
+    let (next, _) = harness.dialled.pop_first().expect("dialled");
+    harness.handle(Input::ServerUp(next));
+    assert_eq!(harness.to_servers.last(), Some(&(next, Message::release(call(7), Cause::NORMAL))));
+    harness.handle(Input::ServerDown(next));
+    harness.connect_all();
+    assert_ne!(harness.releases_sent(7).last(), Some(&next));
+}
+
+/// Guards against a caller's release that is lost in the same way; one that was written long enough before to
+/// have been read is not repeated.
+#[test]
+fn callers_release_is_repeated_when_its_connection_breaks() {
+    for (breaks_after, releases) in [(0, 2), (2 * SECOND, 2), (4 * SECOND, 1)] {
+        let mut harness = Harness::new(&config(&[server_one()]));
+        harness.connect_all();
+        harness.caller(1);
+        let conn = harness.establish(7);
+        harness.caller_sends(1, Message::release(call(7), Cause::NORMAL));
+        harness.advance_with_ping_replies(breaks_after);
+        harness.handle(Input::ServerDown(conn));
+        harness.connect_all();
+        assert_eq!(harness.releases_sent(7).len(), releases, "{breaks_after} us");
+    }
+}
+
+/// Guards against a repeated release that ends the next attempt of the call at the same server.
+#[test]
+fn release_is_not_repeated_once_the_call_is_set_up_there_again() {
+    let mut harness = Harness::new(&config(&[server_one()]));
+    harness.connect_all();
+    harness.caller(1);
+    harness.caller_sends(1, set_up(7, "3000"));
+    let first = harness.set_up_conn(7).expect("a set-up");
+    harness.handle(Input::ServerDown(first));
+    harness.connect_all();
+    let [released_on] = harness.releases_sent(7)[..] else { panic!("one release") };
+    // Other set-ups occupy that connection, so that the next attempt gets another one.
+    for id in 20..23 {
+        harness.caller_sends(1, set_up(id, "3000"));
+        harness.connect_all();
+    }
+    harness.advance(400 * MS);
+    let second = harness.set_up_conn(7).expect("another");
+    assert_eq!((harness.set_up_count(7), second != released_on), (2, true));
+    harness.handle(Input::ServerDown(released_on));
+    assert_eq!(harness.releases_sent(7).len(), 1);
+    harness.server_sends(second, answer(7));
+    assert_eq!(harness.sent_to_caller(7), [(1, MessageType::Answer, None)]);
+}
+
 /// Guards against an exit that is delayed by a release that a dead server can never read.
 #[test]
 fn release_for_a_dead_process_does_not_delay_the_exit() {
