Answers of a slow name server are accepted on the port that asked

Up to eight former ports are read on, and as many descriptors more are reserved.

Tests: drain_is_learned_from_a_slow_name_server (virtual time, 0 to 4 s) and drain_reaches_the_process_through_a_slow_name_server (process) fail before; number_of_open_resolver_ports_is_bounded. In new_port_query_is_sent_from_ another_port "datagrams to the old port are ignored" was the fault; it now requires both ports' answers, and that other senders are ignored on both.

--- a/crates/cli/tests/lifecycle.rs
+++ b/crates/cli/tests/lifecycle.rs
@@ -385,6 +385,39 @@
     );
 }
 
+/// Guards against a node that never reads the list again, and sends new calls to a draining server, because the
+/// name server takes longer to answer than the node keeps its port.
+#[tokio::test]
+async fn drain_reaches_the_process_through_a_slow_name_server() {
+    let fixture = Fixture::new("lifecycle-slow-list", Duration::from_secs(60)).await;
+    wait_until(|| fixture.name_server.query_count() > 1).await;
+    fixture.name_server.set_delay(Duration::from_millis(700));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    fixture
+        .name_server
+        .set_list(fixture.list.iter().map(|s| Listed { drains: s.number == 0, ..s.clone() }).collect());
+    let drained_at = fixture.recorder.now();
+    // An event counts as known 1.5 s after it happened, and 1 s later nothing new may be sent.
+    let last_allowed_at = drained_at + (1_500 + 1_000 + 50) * 1_000;
+    let caller =
+        PlatformCaller::connect(fixture.node.addr, fixture.recorder.clone()).await.expect("listening");
+    let mut id = 0;
+    while fixture.recorder.now() < last_allowed_at + 1_000_000 {
+        id += 1;
+        let (answer, _) = caller.offer(&set_up(id), CALLER_TIMEOUT);
+        assert!(matches!(within_timeout(answer).await, Ok(SetUpOutcome::Established(_))), "call {id}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let entries = fixture.recorder.lines();
+    let at_drained = |line: &&baydrift_audit::RecordEntry| {
+        matches!(line.event, RecordEvent::SetUp { server: 0, .. }) && line.at > last_allowed_at
+    };
+    let late = entries.iter().filter(at_drained).count();
+    assert_eq!(late, 0, "{late} of {id} calls were set up at the drained server after the grace");
+    assert!(fixture.servers[0].set_ups() > 0, "it was in use before");
+    fixture.shut_down().await;
+}
+
 /// Guards against a start that fails, or takes seconds, because the previous process still drains at the same
 /// address.
 #[tokio::test]
--- a/crates/node/src/state/servers.rs
+++ b/crates/node/src/state/servers.rs
@@ -20,8 +20,9 @@
 use super::{wire, Attempt, Node, Output, Payload, PendingSetUp};
 use crate::config::Config;
 
-/// File descriptors for other uses than TCP connections: listener, UDP sockets, signals, log, configuration.
-const RESERVED_DESCRIPTORS: usize = 24;
+/// File descriptors for other uses than TCP connections: listener, UDP sockets (up to 9 towards the name
+/// server), signals, log, configuration.
+const RESERVED_DESCRIPTORS: usize = 32;
 /// Idle time after which a connection is health-checked with a ping.
 const PING_AFTER_IDLE: Micros = 1_000_000;
 /// Time after which a connection is considered dead when the ping is unanswered.
--- a/crates/node/src/transport/tasks.rs
+++ b/crates/node/src/transport/tasks.rs
@@ -4,6 +4,7 @@
 mod tests;
 
 use std::cell::{Cell, OnceCell};
+use std::collections::VecDeque;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -32,6 +33,10 @@
 /// that is not ready after 30 s counts as failed.
 const BIND_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Maximum number of ports on which answers of the name server are received: the present one, and those that
+/// it replaced within the 4.8 s for which answers are accepted, one in 0.6 s.
+const RESOLVER_PORTS_MAX: usize = 9;
+
 /// SIGHUP reloads, SIGTERM and SIGINT stop.
 pub(super) fn signals(core: &mpsc::Sender<Arrival>) -> io::Result<()> {
     let kinds = [SignalKind::hangup(), SignalKind::terminate(), SignalKind::interrupt()];
@@ -132,19 +137,31 @@
     let _ = core.send(arrival).await;
 }
 
-/// The UDP socket for queries to the name server.
+/// The UDP sockets for queries to the name server and its answers.
 pub(super) struct Resolver {
+    /// The socket of the present port, which sends the queries.
     socket: Rc<UdpSocket>,
     at: Rc<Cell<SocketAddr>>,
     core: mpsc::Sender<Arrival>,
-    reader: JoinHandle<()>,
+    /// The readers of all ports, oldest first; each owns its socket.
+    readers: VecDeque<JoinHandle<()>>,
 }
 
 impl Resolver {
     pub(super) fn new(at: SocketAddr, core: &mpsc::Sender<Arrival>) -> io::Result<Self> {
         let (socket, at) = (Rc::new(Self::socket(at)?), Rc::new(Cell::new(at)));
-        let reader = spawn_local(read_answers(socket.clone(), at.clone(), core.clone()));
-        Ok(Self { socket, at, core: core.clone(), reader })
+        let mut resolver = Self { socket, at, core: core.clone(), readers: VecDeque::new() };
+        resolver.spawn_reader();
+        Ok(resolver)
+    }
+
+    /// Starts to read from the present port; the oldest one is closed beyond [`RESOLVER_PORTS_MAX`].
+    fn spawn_reader(&mut self) {
+        let reader = read_answers(self.socket.clone(), self.at.clone(), self.core.clone());
+        self.readers.push_back(spawn_local(reader));
+        while self.readers.len() > RESOLVER_PORTS_MAX {
+            self.readers.pop_front().iter().for_each(JoinHandle::abort);
+        }
     }
 
     fn socket(to: SocketAddr) -> io::Result<UdpSocket> {
@@ -162,14 +179,13 @@
         self.at.set(at);
     }
 
-    /// Sends a query, with `new_port` from a new port. A datagram that the
-    /// system does not accept counts as lost.
+    /// Sends a query, with `new_port` from a new port. Answers to the former ones are still received: the name
+    /// server may be slow. A datagram that the system does not accept counts as lost.
     pub(super) fn send_query(&mut self, query: &[u8], new_port: bool) {
         // If no socket can be opened, the old one stays in use.
         if let Some(socket) = new_port.then(|| Self::socket(self.at.get()).ok()).flatten() {
-            self.reader.abort();
             self.socket = Rc::new(socket);
-            self.reader = spawn_local(read_answers(self.socket.clone(), self.at.clone(), self.core.clone()));
+            self.spawn_reader();
         }
         // Bypasses the runtime, which considers a new socket writable only
         // later: the first query would be lost.
--- a/crates/node/src/transport/tasks/tests.rs
+++ b/crates/node/src/transport/tasks/tests.rs
@@ -70,30 +70,72 @@
     });
 }
 
-/// Guards against a dropped flow to the name server: a query with `new_port` is sent from another port, and
-/// datagrams to the old port are ignored.
+/// A name server's socket, and a resolver that queries it.
+async fn resolver(core: &mpsc::Sender<Arrival>) -> (UdpSocket, Resolver) {
+    let server = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let resolver = Resolver::new(server.local_addr().expect("its address"), core).expect("a socket");
+    (server, resolver)
+}
+
+/// Sends a query and returns the port that it came from.
+async fn query_port(server: &UdpSocket, resolver: &mut Resolver, new_port: bool) -> SocketAddr {
+    resolver.send_query(b"question", new_port);
+    server.recv_from(&mut [0; 64]).await.expect("queried").1
+}
+
+/// The next `count` discovery answers, sorted.
+async fn answers(inputs: &mut mpsc::Receiver<Arrival>, count: usize) -> Vec<Vec<u8>> {
+    let mut answers = Vec::new();
+    while answers.len() < count {
+        match inputs.recv().await.map(|arrival| arrival.input) {
+            Some(Input::DiscoveryAnswer(bytes)) => answers.push(bytes),
+            other => panic!("{other:?}"),
+        }
+    }
+    answers.sort();
+    answers
+}
+
+/// Guards against a dropped flow to the name server, since a query with `new_port` is sent from another port,
+/// and against the loss of slow answers: those to the former port are received as well.
 #[test]
 fn new_port_query_is_sent_from_another_port() {
     run(async {
-        let server = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
         let (core, mut inputs) = mpsc::channel(10);
-        let mut resolver = Resolver::new(server.local_addr().expect("its address"), &core).expect("a socket");
-        let mut buffer = [0; 64];
+        let (server, mut resolver) = resolver(&core).await;
         let mut ports = Vec::new();
         for new_port in [false, false, true] {
-            resolver.send_query(b"question", new_port);
-            ports.push(server.recv_from(&mut buffer).await.expect("asked").1);
+            ports.push(query_port(&server, &mut resolver, new_port).await);
         }
         assert!(ports[0] == ports[1] && ports[1].port() != ports[2].port(), "{ports:?}");
-        server.send_to(b"old", ports[0]).await.expect("sent");
+        server.send_to(b"late", ports[0]).await.expect("sent");
         server.send_to(b"new", ports[2]).await.expect("sent");
-        let input = inputs.recv().await.map(|arrival| arrival.input);
-        assert!(matches!(&input, Some(Input::DiscoveryAnswer(bytes)) if bytes == b"new"), "{input:?}");
-        // Datagrams from other addresses are ignored as well.
+        assert_eq!(answers(&mut inputs, 2).await, [b"late".to_vec(), b"new".to_vec()]);
+        // Datagrams from other addresses are ignored, whatever port they come to.
         let other = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
-        other.send_to(b"wrong", ports[2]).await.expect("sent");
-        server.send_to(b"right", ports[2]).await.expect("sent");
-        let input = inputs.recv().await.map(|arrival| arrival.input);
-        assert!(matches!(&input, Some(Input::DiscoveryAnswer(bytes)) if bytes == b"right"), "{input:?}");
+        for port in [ports[0], ports[2]] {
+            other.send_to(b"wrong", port).await.expect("sent");
+            server.send_to(b"right", port).await.expect("sent");
+        }
+        assert_eq!(answers(&mut inputs, 2).await, [b"right".to_vec(), b"right".to_vec()]);
+    });
+}
+
+/// Guards against descriptors that run out while the name server is silent: the oldest ports are closed.
+#[test]
+fn number_of_open_resolver_ports_is_bounded() {
+    run(async {
+        let (core, mut inputs) = mpsc::channel(100);
+        let (server, mut resolver) = resolver(&core).await;
+        let mut ports = Vec::new();
+        for _ in 0..3 * RESOLVER_PORTS_MAX {
+            ports.push(query_port(&server, &mut resolver, true).await);
+        }
+        for (number, port) in (0u8..).zip(&ports) {
+            server.send_to(&[number], *port).await.expect("sent");
+        }
+        let newest: Vec<_> = (0u8..).map(|n| vec![n]).take(ports.len()).collect();
+        let newest = &newest[ports.len() - RESOLVER_PORTS_MAX..];
+        assert_eq!(answers(&mut inputs, RESOLVER_PORTS_MAX).await, newest);
     });
 }
--- a/crates/node/tests/discovery.rs
+++ b/crates/node/tests/discovery.rs
@@ -2,6 +2,9 @@
 
 mod common;
 
+use std::collections::VecDeque;
+
+use baydrift::interface::Micros;
 use baydrift_node::state::{ConnId, Input};
 use baydrift_platform::{Cause, Message, MessageType};
 use baydrift_standin::{list_answer, Listed};
@@ -35,6 +38,61 @@
     assert!(harness.queries.len() >= before + 5);
 }
 
+/// A name server that answers each query after a delay, with the list as it is then.
+struct SlowNameServer {
+    delay: Micros,
+    /// Queries and the times at which they are answered.
+    queries: VecDeque<(Micros, Vec<u8>)>,
+    /// Number of queries of the harness that were taken over.
+    received: usize,
+    serial: u32,
+    list: Vec<Listed>,
+}
+
+impl SlowNameServer {
+    fn run(&mut self, harness: &mut Harness, span: Micros) {
+        let end = harness.now + span;
+        while harness.now < end {
+            harness.advance_with_ping_replies(10 * MS);
+            let answered_at = harness.now + self.delay;
+            let new = harness.queries[self.received..].iter().map(|query| (answered_at, query.clone()));
+            self.queries.extend(new);
+            self.received = harness.queries.len();
+            while self.queries.front().is_some_and(|(at, _)| *at <= harness.now) {
+                let (_, query) = self.queries.pop_front().expect("a query");
+                let bytes = list_answer(&query, self.serial, &self.list).expect("it is a query");
+                harness.handle(Input::DiscoveryAnswer(bytes));
+            }
+        }
+    }
+}
+
+/// Guards against a list that is never read, and a drain that is never noticed, because the name server takes
+/// longer to answer than the node waits before it asks again.
+#[test]
+fn drain_is_learned_from_a_slow_name_server() {
+    for delay in [0, 100 * MS, 180 * MS, 700 * MS, 1_500 * MS, 4 * SECOND] {
+        let mut harness = Harness::connected();
+        let list = vec![server_one(), server_two()];
+        let mut name_server =
+            SlowNameServer { delay, queries: VecDeque::new(), received: 0, serial: 2, list };
+        name_server.run(&mut harness, 10 * SECOND);
+        let queries = harness.queries.len();
+        (name_server.serial, name_server.list) = (3, vec![draining(server_one()), server_two()]);
+        // An answer with the new list is sent at the latest one interval between queries later.
+        name_server.run(&mut harness, 200 * MS + 150 * MS);
+        harness.caller(2);
+        for id in 1..=20 {
+            harness.caller_sends(2, set_up(id, "3000"));
+            let conn = harness.set_up_conn(id).expect("a set-up");
+            assert!(!harness.conns_to_server_one().contains(&conn), "{delay} us: drained");
+            harness.server_sends(conn, common::answer(id));
+        }
+        let most = 10 * SECOND / (150 * MS) + 1;
+        assert!(queries <= most as usize, "{delay} us: {queries} queries in 10 s");
+    }
+}
+
 #[test]
 fn draining_server_gets_no_new_set_ups() {
     let mut harness = Harness::connected();
--- a/crates/standin/src/name_server.rs
+++ b/crates/standin/src/name_server.rs
@@ -5,6 +5,7 @@
 use std::str::FromStr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use baydrift_platform::dns::LIST_NAME;
 use hickory_proto::op::{Message, MessageType};
@@ -68,6 +69,8 @@
     /// The serial number and the servers.
     list: Arc<Mutex<(u32, Vec<Listed>)>>,
     queries: Arc<AtomicU64>,
+    /// Time from a query to its answer, in milliseconds.
+    delay_ms: Arc<AtomicU64>,
 }
 
 impl NameServer {
@@ -80,17 +83,29 @@
         let addr = socket.local_addr()?;
         let (list, queries) = (Arc::new(Mutex::new((serial, servers))), Arc::new(AtomicU64::new(0)));
         let (current_list, count) = (list.clone(), queries.clone());
+        let (socket, delay_ms) = (Arc::new(socket), Arc::new(AtomicU64::new(0)));
+        let current_delay = delay_ms.clone();
         tokio::spawn(async move {
             let mut buffer = [0; 512];
             while let Ok((size, from)) = socket.recv_from(&mut buffer).await {
                 count.fetch_add(1, Ordering::Relaxed);
-                let (serial, servers) = current_list.lock().unwrap_or_else(PoisonError::into_inner).clone();
-                if let Some(answer) = list_answer(&buffer[..size], serial, &servers) {
-                    let _ = socket.send_to(&answer, from).await;
-                }
+                let delay = Duration::from_millis(current_delay.load(Ordering::Relaxed));
+                let (query, list, socket) = (buffer[..size].to_vec(), current_list.clone(), socket.clone());
+                tokio::spawn(async move {
+                    tokio::time::sleep(delay).await;
+                    let (serial, servers) = list.lock().unwrap_or_else(PoisonError::into_inner).clone();
+                    if let Some(answer) = list_answer(&query, serial, &servers) {
+                        let _ = socket.send_to(&answer, from).await;
+                    }
+                });
             }
         });
-        Ok(Self { addr, list, queries })
+        Ok(Self { addr, list, queries, delay_ms })
+    }
+
+    /// Sets the time from a query to its answer, which has the list of the end of that time.
+    pub fn set_delay(&self, delay: Duration) {
+        self.delay_ms.store(delay.as_millis() as u64, Ordering::Relaxed);
     }
 
     /// Replaces the list and increments the serial number.
