The pool of a signalling server grows again after a failed dial

Found by reading, on the path of the lost replacement: after one dial that failed while other connections were up, `dial_failures` held the target at one connection, so the pool never grew until a connection broke. The limit that a refusal lowers, and that rises by one in 10 s, had no effect.

Change: the target of one connection holds only where none is up.

Test: pool_grows_again_after_a_failed_dial fails before (no dial 11 s after the refusal with three set-ups unanswered).

--- a/crates/node/src/state/servers/mod.rs
+++ b/crates/node/src/state/servers/mod.rs
@@ -321,7 +321,9 @@
         let dialling = server.conns.iter().any(|conn| self.conns.get(conn).is_some_and(|conn| !conn.up));
         let due = now >= server.dial_at || at_once && !dialling;
         let room = self.conns.len() < self.conn_limits.total || server.conns.is_empty();
-        let target = if server.dial_failures > 0 { 1 } else { self.target_conns(now, server) };
+        // One connection shows whether a server works that has none; otherwise the pool's limit applies.
+        let down = server.dial_failures > 0 && self.any_up_conn(id).is_none();
+        let target = if down { 1 } else { self.target_conns(now, server) };
         // Guards against ends of calls that were lost with a connection: their server repeats them only on
         // the next connection that is opened, and it may be long until a set-up needs one.
         let replacements = usize::from(
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -403,6 +403,32 @@
     assert_eq!(harness.sent_to_caller(7).last(), Some(&(1, MessageType::Release, Some(Cause::NORMAL))));
 }
 
+/// Guards against a pool that never grows again after one failed dial: the limit that a refusal lowers rises by
+/// one connection in 10 s, and the next one is dialled then.
+#[test]
+fn pool_grows_again_after_a_failed_dial() {
+    let mut harness = Harness::new(&config(&[server_one()]));
+    harness.connect_all();
+    harness.caller(1);
+    for id in 1..=2 {
+        harness.caller_sends(1, set_up(id, "9000"));
+    }
+    let (third, _) = harness.dialled.pop_first().expect("one connection is kept spare");
+    harness.handle(Input::DialFailed(third, true));
+    for id in 1..=2 {
+        let conn = harness.set_up_conn(id).expect("a set-up");
+        harness.server_sends(conn, answer(id));
+    }
+    harness.advance_with_ping_replies(9 * SECOND);
+    assert!(harness.dialled.is_empty(), "not while the limit is reached: {:?}", harness.dialled);
+    harness.advance_with_ping_replies(2 * SECOND);
+    for id in 3..=5 {
+        harness.caller_sends(1, set_up(id, "9000"));
+    }
+    harness.advance(100 * MS);
+    assert_eq!(harness.dialled.len(), 1, "the limit has risen by one");
+}
+
 /// Guards against endless dials to a server at its connection cap: a replacement that does not come up is
 /// given up when no call is established there, since no end can have been lost.
 #[test]
