An owed release skips the pause after an earlier failed dial

Found by reading the change for lost answers: where a dial had failed while other connections were up, and then all of them broke, the next dial waited for the pause of up to 1 s, and the release came after the hold-off of 0.3 s, when the call may be set up elsewhere.

Change: a server to which a release is owed is dialled at once, as it is for a waiting set-up.

Test: release_of_a_lost_answer_skips_the_redial_pause fails before.

--- a/crates/node/src/state/servers/connections.rs
+++ b/crates/node/src/state/servers/connections.rs
@@ -91,8 +91,10 @@
         for call in owed {
             self.send_release(conn.server, call, None, out);
         }
-        // Dialled before the engine retries the unanswered set-ups, so that they find a connection.
-        self.servers.dial(self.now, conn.server, false, out);
+        // Dialled before the engine retries the unanswered set-ups, so that they find a connection; without a
+        // pause for a release, which must arrive before the call is set up elsewhere.
+        let at_once = self.servers.owes_release(conn.server);
+        self.servers.dial(self.now, conn.server, at_once, out);
         for attempt in conn.unanswered.into_values() {
             self.end_attempt(attempt, AttemptEnd::plain(Outcome::Reset), out);
         }
--- a/crates/node/src/state/servers/mod.rs
+++ b/crates/node/src/state/servers/mod.rs
@@ -233,6 +233,11 @@
         self.by_id.values().any(|server| may_hold_calls(server) && !server.pending_releases.is_empty())
     }
 
+    /// Whether a release waits for a connection to this server.
+    fn owes_release(&self, server: ServerId) -> bool {
+        self.by_id.get(&server).is_some_and(|server| !server.pending_releases.is_empty())
+    }
+
     /// Records an established call at a server, which need not be on the list.
     pub(super) fn add_established(
         &mut self,
@@ -315,7 +320,8 @@
         }
     }
 
-    /// Dials the missing connections. `at_once` skips the pause after a failed dial, for a waiting set-up.
+    /// Dials the missing connections. `at_once` skips the pause after a failed dial, for a waiting
+    /// set-up or release.
     fn dial(&mut self, now: Micros, id: ServerId, at_once: bool, out: &mut Vec<Output>) {
         let Some(server) = self.by_id.get(&id) else { return };
         let dialling = server.conns.iter().any(|conn| self.conns.get(conn).is_some_and(|conn| !conn.up));
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -118,6 +118,29 @@
     }
 }
 
+/// Guards against a release that waits for the pause after an earlier failed dial: it would arrive after the
+/// hold-off, when the call is set up elsewhere.
+#[test]
+fn release_of_a_lost_answer_skips_the_redial_pause() {
+    let mut harness = Harness::new(&config(&[server_one()]));
+    harness.connect_all();
+    harness.caller(1);
+    for id in 1..=2 {
+        harness.caller_sends(1, set_up(id, "3000"));
+    }
+    let (third, _) = harness.dialled.pop_first().expect("one connection is kept spare");
+    harness.handle(Input::DialFailed(third, true));
+    for conn in [ConnId(1), ConnId(2)] {
+        harness.handle(Input::ServerDown(conn));
+    }
+    let (next, _) = harness.dialled.pop_first().expect("dialled at once");
+    harness.handle(Input::ServerUp(next));
+    assert_eq!(
+        (harness.releases_sent(1).last(), harness.releases_sent(2).last()),
+        (Some(&next), Some(&next))
+    );
+}
+
 /// Guards against a release that is lost with the connection it was written to: all connections to the
 /// server are reset, and the first reset's release is written to the second one.
 #[test]
