Shorter functions for dialling and health checks; one list delivery in tests

`Servers::dial` and `check_servers` are split by job (`missing_conns`, `is_dialling`, `Conn::new`, `misplaced_conns`, `check_health`); behaviour is as before. The node's tests share `Harness::deliver_list`, which stood in two files.

--- a/crates/node/src/state/servers/connections.rs
+++ b/crates/node/src/state/servers/connections.rs
@@ -107,22 +107,33 @@
     }
 
     pub(in crate::state) fn check_servers(&mut self, out: &mut Vec<Output>) {
-        let now = self.now;
         for id in self.servers.by_id.keys().copied().collect::<Vec<_>>() {
             self.check_server(id, out);
         }
-        let mut broken = Vec::new();
-        let at = |server| self.servers.by_id.get(&server).map(|server| server.address);
-        let misplaced =
-            self.servers.conns.iter().filter(|(_, conn)| at(conn.server) != Some(Some(conn.address)));
-        // Guards against a server whose address has changed or now belongs to another server: the process at
-        // the dialled address is not this server.
-        broken.extend(misplaced.map(|(id, _)| (*id, "the server's address has changed")));
+        let mut broken = self.misplaced_conns();
+        broken.extend(self.check_health(out));
+        for (id, why) in broken {
+            self.close_broken(id, &why, out);
+        }
+    }
+
+    /// Connections to another address than their server's. Guards against a server whose address has changed
+    /// or now belongs to another server: the process at the dialled address is not this server.
+    fn misplaced_conns(&self) -> Vec<(ConnId, &'static str)> {
+        let address = |server| self.servers.by_id.get(&server).and_then(|server| server.address);
+        let conns = self.servers.conns.iter();
+        let misplaced = conns.filter(|(_, conn)| address(conn.server) != Some(conn.address));
+        misplaced.map(|(id, _)| (*id, "the server's address has changed")).collect()
+    }
+
+    /// Pings idle connections, and returns those that have timed out.
+    fn check_health(&mut self, out: &mut Vec<Output>) -> Vec<(ConnId, &'static str)> {
+        let (now, mut broken) = (self.now, Vec::new());
         for (id, conn) in self.servers.conns.iter_mut().filter(|(_, conn)| conn.up) {
-            let stuck = conn.partial_since.is_some_and(|at| now >= at + PARTIAL_MESSAGE_TIMEOUT);
-            let silent = conn.pinged_at.is_some_and(|at| now >= at + PING_TIMEOUT);
-            if stuck || silent {
-                broken.push((*id, if stuck { "incomplete message timed out" } else { "ping timed out" }));
+            if conn.partial_since.is_some_and(|at| now >= at + PARTIAL_MESSAGE_TIMEOUT) {
+                broken.push((*id, "incomplete message timed out"));
+            } else if conn.pinged_at.is_some_and(|at| now >= at + PING_TIMEOUT) {
+                broken.push((*id, "ping timed out"));
             } else if conn.pinged_at.is_none() && now >= conn.received_at + PING_AFTER_IDLE {
                 conn.pinged_at = Some(now);
                 let ping = Message::new(MessageType::HealthCheck, CallId::default())
@@ -130,9 +141,7 @@
                 write(out, *id, &ping);
             }
         }
-        for (id, why) in broken {
-            self.close_broken(id, &why, out);
-        }
+        broken
     }
 
     fn check_server(&mut self, id: ServerId, out: &mut Vec<Output>) {
--- a/crates/node/src/state/servers/mod.rs
+++ b/crates/node/src/state/servers/mod.rs
@@ -100,6 +100,21 @@
 }
 
 impl Conn {
+    /// A connection that is being dialled.
+    fn new(server: ServerId, address: SocketAddr, now: Micros) -> Self {
+        Self {
+            server,
+            address,
+            up: false,
+            unanswered: BTreeMap::new(),
+            finished: ExpiringQueue::new((FINISHED_CALLS_MAX, FINISHED_CALLS_TTL)),
+            releases: ExpiringQueue::new((SENT_RELEASES_MAX, SENT_RELEASES_TTL)),
+            received_at: now,
+            pinged_at: None,
+            partial_since: None,
+        }
+    }
+
     fn has_finished(&self, call: CallId) -> bool {
         self.finished.any(|finished| *finished == call)
     }
@@ -320,41 +335,36 @@
         }
     }
 
-    /// Dials the missing connections. `at_once` skips the pause after a failed dial, for a waiting
-    /// set-up or release.
-    fn dial(&mut self, now: Micros, id: ServerId, at_once: bool, out: &mut Vec<Output>) {
-        let Some(server) = self.by_id.get(&id) else { return };
-        let dialling = server.conns.iter().any(|conn| self.conns.get(conn).is_some_and(|conn| !conn.up));
-        let due = now >= server.dial_at || at_once && !dialling;
-        let room = self.conns.len() < self.conn_limits.total || server.conns.is_empty();
+    /// Number of connections that a server lacks: for its set-ups, to replace a broken one, or for a set-up whose
+    /// call has used all the others.
+    fn missing_conns(&self, now: Micros, id: ServerId, server: &Server) -> usize {
         // One connection shows whether a server works that has none; otherwise the pool's limit applies.
         let down = server.dial_failures > 0 && self.any_up_conn(id).is_none();
         let target = if down { 1 } else { self.target_conns(now, server) };
         // Guards against ends of calls that were lost with a connection: their server repeats them only on
         // the next connection that is opened, and it may be long until a set-up needs one.
-        let replacements = usize::from(
-            server.lacks_replacement()
-                && server.listed.is_some()
-                && server.conns.len() < 2 * CONNS_PER_SERVER_MAX,
-        );
-        let replacements = replacements.max(usize::from(!dialling && self.needs_extra_conn(server)));
-        let missing = target.saturating_sub(server.conns.len()).max(replacements).min(2);
+        let needs_replacement = server.lacks_replacement()
+            && server.listed.is_some()
+            && server.conns.len() < 2 * CONNS_PER_SERVER_MAX;
+        let needs_extra = !self.is_dialling(server) && self.needs_extra_conn(server);
+        target.saturating_sub(server.conns.len()).max(usize::from(needs_replacement || needs_extra))
+    }
+
+    fn is_dialling(&self, server: &Server) -> bool {
+        server.conns.iter().any(|conn| self.conns.get(conn).is_some_and(|conn| !conn.up))
+    }
+
+    /// Dials the missing connections, at most two at a time. `at_once` skips the pause after a failed dial, for
+    /// a waiting set-up or release.
+    fn dial(&mut self, now: Micros, id: ServerId, at_once: bool, out: &mut Vec<Output>) {
+        let Some(server) = self.by_id.get(&id) else { return };
+        let due = now >= server.dial_at || at_once && !self.is_dialling(server);
+        let room = self.conns.len() < self.conn_limits.total || server.conns.is_empty();
         let Some(address) = server.address.filter(|_| due && room) else { return };
-        for _ in 0..missing {
+        for _ in 0..self.missing_conns(now, id, server).min(2) {
             let conn = ConnId(self.next_conn);
             self.next_conn += 1;
-            let new_conn = Conn {
-                server: id,
-                address,
-                up: false,
-                unanswered: BTreeMap::new(),
-                finished: ExpiringQueue::new((FINISHED_CALLS_MAX, FINISHED_CALLS_TTL)),
-                releases: ExpiringQueue::new((SENT_RELEASES_MAX, SENT_RELEASES_TTL)),
-                received_at: now,
-                pinged_at: None,
-                partial_since: None,
-            };
-            self.conns.insert(conn, new_conn);
+            self.conns.insert(conn, Conn::new(id, address, now));
             if let Some(server) = self.by_id.get_mut(&id) {
                 server.conns.insert(conn);
             }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use baydrift_node::state::{ConnId, Input, Node, Output};
 use baydrift_node::Config;
 use baydrift_platform::{CallId, Message, MessageDecoder, MessageType, ParameterCode};
-use baydrift_standin::{relay_config, Listed};
+use baydrift_standin::{list_answer, relay_config, Listed};
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
@@ -162,6 +162,14 @@
         }
     }
 
+    /// Lets the name server answer the last query after 300 ms with this list.
+    pub fn deliver_list(&mut self, serial: u32, servers: &[Listed]) {
+        self.advance(300 * MS);
+        let query = self.queries.last().expect("a query was sent");
+        let bytes = list_answer(query, serial, servers).expect("it is a query");
+        self.handle(Input::DiscoveryAnswer(bytes));
+    }
+
     /// Lets all pending dials succeed.
     pub fn connect_all(&mut self) {
         for (conn, _) in std::mem::take(&mut self.dialled) {
--- a/crates/node/tests/discovery.rs
+++ b/crates/node/tests/discovery.rs
@@ -20,12 +20,6 @@
     Listed { drains: true, ..server }
 }
 
-fn deliver_list(harness: &mut Harness, serial: u32, servers: &[Listed]) {
-    harness.advance(300 * MS);
-    let bytes = answer(harness, serial, servers);
-    harness.handle(Input::DiscoveryAnswer(bytes));
-}
-
 #[test]
 fn list_is_queried_within_a_second_and_after_lost_answers() {
     let mut harness = Harness::connected();
@@ -33,7 +27,7 @@
     assert!((4..=8).contains(&harness.queries.len()), "{}", harness.queries.len());
     let before = harness.queries.len();
     for serial in 2..7 {
-        deliver_list(&mut harness, serial, &[server_one(), server_two()]);
+        harness.deliver_list(serial, &[server_one(), server_two()]);
     }
     assert!(harness.queries.len() >= before + 5);
 }
@@ -96,7 +90,7 @@
 #[test]
 fn draining_server_gets_no_new_set_ups() {
     let mut harness = Harness::connected();
-    deliver_list(&mut harness, 2, &[draining(server_one()), server_two()]);
+    harness.deliver_list(2, &[draining(server_one()), server_two()]);
     for id in 1..=20 {
         harness.caller_sends(1, set_up(id, "3000"));
         let conn = harness.set_up_conn(id).expect("a set-up");
@@ -110,9 +104,9 @@
 #[test]
 fn stale_and_invalid_answers_are_ignored() {
     let mut harness = Harness::connected();
-    deliver_list(&mut harness, 5, &[server_one(), server_two()]);
-    deliver_list(&mut harness, 4, &[]);
-    deliver_list(&mut harness, 5, &[]);
+    harness.deliver_list(5, &[server_one(), server_two()]);
+    harness.deliver_list(4, &[]);
+    harness.deliver_list(5, &[]);
     harness.advance(300 * MS);
     let mut other = answer(&harness, 9, &[]);
     other[1] ^= 0x55;
@@ -143,7 +137,7 @@
     }
     harness.connect_all();
     assert_eq!(harness.sent_to_caller(7).len(), 1);
-    deliver_list(&mut harness, 2, &[left, new]);
+    harness.deliver_list(2, &[left, new]);
     assert_eq!(harness.sent_to_caller(7).last(), Some(&(1, MessageType::Release, Some(Cause::TEMPORARY))));
 }
 
@@ -152,7 +146,7 @@
     let mut harness = Harness::connected();
     let conn = harness.establish(7);
     let left = if harness.conns_to_server_one().contains(&conn) { server_two() } else { server_one() };
-    deliver_list(&mut harness, 2, &[left]);
+    harness.deliver_list(2, &[left]);
     assert_eq!(harness.sent_to_caller(7).len(), 1, "its established calls may continue");
     for conn in (1..=9).map(ConnId) {
         harness.handle(Input::ServerDown(conn));
@@ -173,7 +167,7 @@
     let since = |server: Listed| Listed { started_ms, ..server };
     let list = if at_one { [since(server_one()), server_two()] } else { [server_one(), since(server_two())] };
     harness.connect_all();
-    deliver_list(&mut harness, 2, &list);
+    harness.deliver_list(2, &list);
     assert_eq!(harness.sent_to_caller(7).last(), Some(&(1, MessageType::Release, Some(Cause::TEMPORARY))));
 }
 
@@ -194,7 +188,7 @@
 #[test]
 fn changed_name_server_is_queried_at_once() {
     let mut harness = Harness::connected();
-    deliver_list(&mut harness, 2, &[server_one(), server_two()]);
+    harness.deliver_list(2, &[server_one(), server_two()]);
     let (asked, stale) = (harness.queries.len(), answer(&harness, 3, &[]));
     harness.handle(Input::NameServerChanged);
     harness.handle(Input::Tick);
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -5,7 +5,7 @@
 use baydrift_call::LinkId;
 use baydrift_node::state::{ConnId, Input};
 use baydrift_platform::{CallId, Cause, Message, MessageType, ParameterCode};
-use baydrift_standin::{list_answer, Listed};
+use baydrift_standin::Listed;
 use common::{
     answer, call, config, config_of_large_fleet, server_one, server_two, set_up, Harness, MS, SECOND,
 };
@@ -101,10 +101,7 @@
         harness.caller(1);
         harness.caller_sends(1, set_up(7, "3000"));
         let conn = harness.set_up_conn(7).expect("a set-up");
-        harness.advance(300 * MS);
-        let list = [Listed { drains, ..server_one() }];
-        let query = harness.queries.last().expect("a query was sent").clone();
-        harness.handle(Input::DiscoveryAnswer(list_answer(&query, 2, &list).expect("it is a query")));
+        harness.deliver_list(2, &[Listed { drains, ..server_one() }]);
         harness.handle(Input::ServerDown(conn));
         let sent_before = harness.to_servers.len();
         let (next, _) = harness.dialled.pop_first().expect("dialled at once");
--- a/crates/node/tests/termination.rs
+++ b/crates/node/tests/termination.rs
@@ -11,12 +11,6 @@
     SECOND,
 };
 
-fn deliver_list(harness: &mut Harness, serial: u32, servers: &[Listed]) {
-    harness.advance(300 * MS);
-    let query = harness.queries.last().expect("a query was sent").clone();
-    harness.handle(Input::DiscoveryAnswer(list_answer(&query, serial, servers).expect("it is a query")));
-}
-
 // --- attempts that wait for a connection ---
 
 /// Guards against a call refused by each server whose next attempt there waits for a connection that is never
@@ -218,7 +212,7 @@
     let served = harness.set_up_conn(7).expect("served by the last list");
     harness.server_sends(served, answer(7));
     let three = Listed::ready("s-three", ([10, 1, 0, 3], 5080).into(), 2);
-    deliver_list(&mut harness, 9, &[three]);
+    harness.deliver_list(9, &[three]);
     harness.connect_all();
     harness.caller_sends(1, set_up(8, "3000"));
     let at = harness.set_up_conn(8).expect("a set-up");
