Repeated releases are bounded, and end with a reply to a later set-up

Change: a reply to a later set-up on the connection shows that a release was read; one that was not is queued for the replacement connection, which is dialled until it is up, and is written three times at most.

Test: releases_are_not_repeated_without_end fails before.

--- a/crates/node/src/state/expiring.rs
+++ b/crates/node/src/state/expiring.rs
@@ -33,6 +33,13 @@
         self.entries.push_back((now, item));
     }
 
+    /// Removes the items that were inserted before this time.
+    pub(super) fn remove_before(&mut self, time: Micros) {
+        while self.entries.front().is_some_and(|(at, _)| *at < time) {
+            self.entries.pop_front();
+        }
+    }
+
     /// Whether an item matches. Expired items count until the next [`Self::push`] or [`Self::take_matching`].
     pub(super) fn any(&self, matches: impl Fn(&T) -> bool) -> bool {
         self.entries.iter().any(|(_, item)| matches(item))
--- a/crates/node/src/state/servers/attempts.rs
+++ b/crates/node/src/state/servers/attempts.rs
@@ -4,7 +4,7 @@
 use baydrift_call::{AttemptEnd, AttemptId, Input as EngineInput};
 use baydrift_platform::{CallId, Cause, Message, MessageType, ParameterCode};
 
-use super::{write, ConnId};
+use super::{write, ConnId, OwedRelease};
 use crate::state::{wire, Attempt, Node, Output, Payload, PendingSetUp};
 
 impl Node {
@@ -88,7 +88,7 @@
             conn.unanswered.remove(&call);
             conn.finished.push(self.now, call);
         }
-        self.send_release(server, call, own_conn, out);
+        self.send_release(server, OwedRelease::new(call), own_conn, out);
     }
 
     /// Releases a call at a server: on `preferred` if given, else on any established connection, else on the
@@ -96,23 +96,24 @@
     pub(super) fn send_release(
         &mut self,
         server: ServerId,
-        call: CallId,
+        release: OwedRelease,
         preferred: Option<ConnId>,
         out: &mut Vec<Output>,
     ) {
         if let Some(conn) = preferred.or_else(|| self.servers.any_up_conn(server)) {
-            return self.write_release(conn, call, out);
+            return self.write_release(conn, release, out);
         }
         if let Some(known) = self.servers.by_id.get_mut(&server) {
-            known.queue_release(call);
+            known.queue_release(release);
         }
     }
 
-    pub(super) fn write_release(&mut self, id: ConnId, call: CallId, out: &mut Vec<Output>) {
+    pub(super) fn write_release(&mut self, id: ConnId, release: OwedRelease, out: &mut Vec<Output>) {
+        let writes = release.writes + 1;
         if let Some(conn) = self.servers.conns.get_mut(&id) {
-            conn.releases.push(self.now, call);
+            conn.unread_releases.push(self.now, OwedRelease { writes, ..release });
         }
-        write(out, id, &Message::release(call, Cause::NORMAL));
+        write(out, id, &Message::release(release.call, Cause::NORMAL));
     }
 
     /// Reports to the engine an attempt that ended without establishing its call.
--- a/crates/node/src/state/servers/connections.rs
+++ b/crates/node/src/state/servers/connections.rs
@@ -1,13 +1,13 @@
 //! Connections to signalling servers: opened, failed, broken, and checked for timeouts.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::VecDeque;
 use std::fmt::Display;
 
 use baydrift::interface::{Micros, Outcome, ServerId, ServerState};
 use baydrift_call::{AttemptEnd, AttemptId};
 use baydrift_platform::{CallId, Message, MessageType, ParameterCode};
 
-use super::{write, ConnId, PING_AFTER_IDLE, PING_TIMEOUT};
+use super::{write, Conn, ConnId, OwedRelease, PING_AFTER_IDLE, PING_TIMEOUT, RELEASE_WRITES_MAX};
 use crate::state::{Node, Output};
 
 /// Time within which a partly received message must be complete: messages are small,
@@ -32,8 +32,8 @@
         let (waiting, releases) =
             (std::mem::take(&mut server.waiting), std::mem::take(&mut server.pending_releases));
         let ready = server.listed == Some(ServerState::Ready);
-        for call in releases {
-            self.write_release(id, call, out);
+        for release in releases {
+            self.write_release(id, release, out);
         }
         for attempt in waiting {
             // Checked again before writing: the server may have announced its drain meanwhile, and the latest
@@ -84,12 +84,10 @@
             conn.unanswered.len()
         );
         self.counts.broken += u64::from(!conn.unanswered.is_empty());
+        self.repeat_unread_releases(&mut conn);
         // Guards against a call that is established here while it is set up at another server.
-        let unread =
-            conn.releases.take_matching(self.now, |call| !self.servers.has_set_up(conn.server, *call));
-        let owed: BTreeSet<_> = conn.unanswered.keys().copied().chain(unread).collect();
-        for call in owed {
-            self.send_release(conn.server, call, None, out);
+        for call in conn.unanswered.keys() {
+            self.send_release(conn.server, OwedRelease::new(*call), None, out);
         }
         // Dialled before the engine retries the unanswered set-ups, so that they find a connection; without a
         // pause for a release, which must arrive before the call is set up elsewhere.
@@ -100,6 +98,19 @@
         }
     }
 
+    /// Queues the releases that may not have been read on a broken connection for the one that replaces it, but
+    /// for calls that have been set up at the server again. The other connections may be breaking as well.
+    fn repeat_unread_releases(&mut self, conn: &mut Conn) {
+        for release in conn.unread_releases.take_matching(self.now, |_| true) {
+            let call = release.call;
+            let is_set_up = conn.unanswered.contains_key(&call) || self.servers.has_set_up(conn.server, call);
+            let Some(server) = self.servers.by_id.get_mut(&conn.server) else { return };
+            if release.writes < RELEASE_WRITES_MAX && !is_set_up {
+                server.queue_release(release);
+            }
+        }
+    }
+
     pub(super) fn close_broken(&mut self, id: ConnId, why: &dyn Display, out: &mut Vec<Output>) {
         tracing::debug!("connection {} to a signalling server is closed: {why}", id.0);
         out.push(Output::CloseServer(id));
@@ -186,7 +197,7 @@
         }
         let established = self.process_lost(id, Micros::MAX, out);
         if let Some(server) = self.servers.by_id.get_mut(&id) {
-            established.into_iter().for_each(|call| server.queue_release(call));
+            established.into_iter().for_each(|call| server.queue_release(OwedRelease::new(call)));
         }
     }
 
--- a/crates/node/src/state/servers/messages.rs
+++ b/crates/node/src/state/servers/messages.rs
@@ -62,6 +62,7 @@
         let server = conn.server;
         if let Some(state) = self.attempts.get_mut(&attempt) {
             state.established = true;
+            conn.record_read(state.started_at);
         }
         tracing::trace!("{call} at {server:x}: established");
         self.attempt_counts.record_ended(server, Outcome::Ok);
@@ -87,6 +88,9 @@
         if let Some(attempt) = conn.unanswered.remove(&call) {
             tracing::trace!("{call} at {server:x}: released with cause {cause} before its answer");
             conn.finished.push(self.now, call);
+            if let Some(state) = self.attempts.get(&attempt) {
+                conn.record_read(state.started_at);
+            }
             if cause == Cause::NORMAL {
                 // The answer was lost, and this release ends the established call.
                 self.attempts.remove(&attempt);
--- a/crates/node/src/state/servers/mod.rs
+++ b/crates/node/src/state/servers/mod.rs
@@ -43,11 +43,13 @@
 const UNCLAIMED_ENDS_MAX: usize = 1_024;
 /// How long the end of an unknown call is kept.
 const UNCLAIMED_ENDS_TTL: Micros = 8_000_000;
-/// Maximum number of releases that a connection remembers.
-const SENT_RELEASES_MAX: usize = 512;
-/// How long a connection remembers a release: longer than a silent connection is kept, since one that was
-/// written to a connection which then breaks may not have been read.
-const SENT_RELEASES_TTL: Micros = PING_AFTER_IDLE + PING_TIMEOUT + 200_000;
+/// Maximum number of releases that a connection remembers until they are known to be read.
+const UNREAD_RELEASES_MAX: usize = 512;
+/// Time after which a release is taken for read: longer than a silent connection is kept.
+const UNREAD_RELEASES_TTL: Micros = PING_AFTER_IDLE + PING_TIMEOUT + 200_000;
+/// Maximum number of times that a release is written. Guards against releases that multiply while connections
+/// break again and again.
+const RELEASE_WRITES_MAX: u32 = 3;
 /// Maximum number of releases that wait for a connection to one server.
 const PENDING_RELEASES_MAX: usize = 1_000;
 
@@ -79,6 +81,14 @@
     }
 }
 
+/// A release that a server may not have read.
+#[derive(Debug, Clone, Copy)]
+struct OwedRelease {
+    call: CallId,
+    /// Number of times that it was written.
+    writes: u32,
+}
+
 #[derive(Debug)]
 struct Conn {
     server: ServerId,
@@ -89,8 +99,8 @@
     unanswered: BTreeMap<CallId, AttemptId>,
     /// Calls that finished on this connection.
     finished: ExpiringQueue<CallId>,
-    /// Calls released on this connection.
-    releases: ExpiringQueue<CallId>,
+    /// Releases written on this connection that the server may not have read yet.
+    unread_releases: ExpiringQueue<OwedRelease>,
     /// Time of the last message received.
     received_at: Micros,
     /// Time of the unanswered ping.
@@ -99,6 +109,13 @@
     partial_since: Option<Micros>,
 }
 
+impl OwedRelease {
+    /// A release that was not written yet.
+    fn new(call: CallId) -> Self {
+        Self { call, writes: 0 }
+    }
+}
+
 impl Conn {
     /// A connection that is being dialled.
     fn new(server: ServerId, address: SocketAddr, now: Micros) -> Self {
@@ -108,13 +125,18 @@
             up: false,
             unanswered: BTreeMap::new(),
             finished: ExpiringQueue::new((FINISHED_CALLS_MAX, FINISHED_CALLS_TTL)),
-            releases: ExpiringQueue::new((SENT_RELEASES_MAX, SENT_RELEASES_TTL)),
+            unread_releases: ExpiringQueue::new((UNREAD_RELEASES_MAX, UNREAD_RELEASES_TTL)),
             received_at: now,
             pinged_at: None,
             partial_since: None,
         }
     }
 
+    /// Records that the server has read all that was written before a set-up, since it has replied to that.
+    fn record_read(&mut self, set_up_at: Micros) {
+        self.unread_releases.remove_before(set_up_at);
+    }
+
     fn has_finished(&self, call: CallId) -> bool {
         self.finished.any(|finished| *finished == call)
     }
@@ -131,8 +153,8 @@
     established: BTreeMap<CallId, AttemptId>,
     /// Attempts whose set-ups wait for a connection.
     waiting: VecDeque<AttemptId>,
-    /// Calls whose releases wait for a connection.
-    pending_releases: VecDeque<CallId>,
+    /// Releases that wait for a connection.
+    pending_releases: VecDeque<OwedRelease>,
     dial_failures: u32,
     /// The last dial was refused while no connection was established.
     refuses: bool,
@@ -148,11 +170,11 @@
 
 impl Server {
     /// Queues a release for the next connection; beyond the limit the oldest is dropped.
-    fn queue_release(&mut self, call: CallId) {
+    fn queue_release(&mut self, release: OwedRelease) {
         if self.pending_releases.len() >= PENDING_RELEASES_MAX {
             self.pending_releases.pop_front();
         }
-        self.pending_releases.push_back(call);
+        self.pending_releases.push_back(release);
     }
 
     /// Whether a broken connection has no replacement yet, not even one that is being dialled.
@@ -165,11 +187,12 @@
         self.replacement_from = self.replacement_from.filter(|from| conn < *from);
     }
 
-    /// Records that a dial failed; a replacement is given up if no established call needs it.
+    /// Records that a dial failed; a replacement is given up if no established call and no release needs it.
     fn record_failed_dial(&mut self, now: Micros) {
         self.dial_at = now + (REDIAL_PAUSE_MIN << self.dial_failures.min(8)).min(REDIAL_PAUSE_MAX);
         self.dial_failures += 1;
-        self.replacement_from = self.replacement_from.filter(|_| !self.established.is_empty());
+        let needed = !self.established.is_empty() || !self.pending_releases.is_empty();
+        self.replacement_from = self.replacement_from.filter(|_| needed);
     }
 }
 
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -172,6 +172,51 @@
     }
 }
 
+/// Guards against a repeated release that waits for a connection which is never dialled again.
+#[test]
+fn replacement_for_a_release_is_dialled_again() {
+    let mut harness = Harness::new(&config(&[server_one()]));
+    harness.connect_all();
+    harness.caller(1);
+    let conn = harness.establish(7);
+    harness.caller_sends(1, Message::release(call(7), Cause::NORMAL));
+    harness.handle(Input::ServerDown(conn));
+    let (failed, _) = harness.dialled.pop_first().expect("dialled");
+    harness.handle(Input::DialFailed(failed, false));
+    harness.advance_with_ping_replies(SECOND);
+    harness.connect_all();
+    assert_eq!(harness.releases_sent(7).len(), 2);
+}
+
+/// Guards against releases that multiply and keep the node from its work while connections break again and
+/// again: each is written three times at most, and not again once the server has replied to a later set-up on the
+/// same connection.
+#[test]
+fn releases_are_not_repeated_without_end() {
+    let mut harness = Harness::new(&config_of_large_fleet(&[server_one()]));
+    harness.connect_all();
+    harness.caller(1);
+    harness.caller_sends(1, set_up(7, "3000"));
+    harness.caller_sends(1, Message::release(call(7), Cause::NORMAL));
+    for _ in 0..50 {
+        harness.advance(100 * MS);
+        harness.break_all_conns();
+        harness.connect_all();
+    }
+    assert_eq!(harness.releases_sent(7).len(), 3);
+    // A reply to a later set-up shows that the release was read.
+    harness.caller_sends(1, set_up(8, "3000"));
+    harness.caller_sends(1, Message::release(call(8), Cause::NORMAL));
+    harness.advance(10 * MS);
+    harness.caller_sends(1, set_up(9, "3000"));
+    let conn = harness.set_up_conn(9).expect("a set-up");
+    assert_eq!(harness.releases_sent(8), [conn]);
+    harness.server_sends(conn, answer(9));
+    harness.break_all_conns();
+    harness.connect_all();
+    assert_eq!(harness.releases_sent(8), [conn]);
+}
+
 /// Guards against a repeated release that ends the next attempt of the call at the same server.
 #[test]
 fn release_is_not_repeated_once_the_call_is_set_up_there_again() {
