A replacement connection is not surplus until it has been idle for 1 s

Cause: the dials that fail in the partition lower the connection limit to what is up. The replacement that comes up later is above it, has no calls, and `close_surplus` closed it at the next check, within 50 ms. If the check came before the ends that the server repeats on that connection, they were lost with it, and the server does not repeat them again.

Change: a connection is surplus 1 s after its last message at the soonest.

Test: replacement_is_not_closed_before_the_repeated_ends_arrive fails before.

--- a/crates/node/src/state/servers/connections.rs
+++ b/crates/node/src/state/servers/connections.rs
@@ -19,6 +19,9 @@
 /// The same for a server that is no longer on the list, which is never this far behind.
 const DELISTED_UNREACHABLE_TIMEOUT: Micros = 1_500_000;
 
+/// Time without a message after which a connection may be closed as surplus.
+const SURPLUS_AFTER_IDLE: Micros = 1_000_000;
+
 impl Node {
     pub(in crate::state) fn server_up(&mut self, id: ConnId, out: &mut Vec<Output>) {
         let now = self.now;
@@ -222,7 +225,8 @@
     }
 
     /// Closes one connection above the server's limit: the oldest without an unanswered set-up or a call
-    /// established on it, since ends of calls come first by the connection of their set-up.
+    /// established on it, since ends of calls come first by the connection of their set-up. Guards against a
+    /// replacement that is closed before the ends which its server repeats on it have arrived.
     fn close_surplus(&mut self, id: ServerId, out: &mut Vec<Output>) {
         let Some(server) = self.servers.by_id.get(&id) else { return };
         let share = self.servers.conn_limits.total / self.servers.by_id.len().max(1);
@@ -232,8 +236,9 @@
             .current_max(self.now)
             .min(share)
             .max(1);
-        let up: Vec<_> =
-            self.servers.up_conns(id).map(|(id, conn)| (id, conn.unanswered.is_empty())).collect();
+        let is_idle =
+            |conn: &Conn| conn.unanswered.is_empty() && self.now >= conn.received_at + SURPLUS_AFTER_IDLE;
+        let up: Vec<_> = self.servers.up_conns(id).map(|(id, conn)| (id, is_idle(conn))).collect();
         let used = |conn: &ConnId| self.attempts.values().any(|state| state.conn == Some(*conn));
         if up.len() <= limit {
             return;
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -468,6 +468,37 @@
     assert_eq!(harness.sent_to_caller(7).last(), Some(&(1, MessageType::Release, Some(Cause::NORMAL))));
 }
 
+/// Guards against ends of calls that are lost with their replacement connection: above the limit that the failed
+/// dials have lowered, it was closed as surplus before the ends that the server repeats on it had arrived.
+#[test]
+fn replacement_is_not_closed_before_the_repeated_ends_arrive() {
+    let mut harness = Harness::new(&config(&[server_one()]));
+    harness.connect_all();
+    harness.caller(1);
+    for id in [7, 8] {
+        harness.caller_sends(1, set_up(id, "3000"));
+    }
+    let conns = [7, 8].map(|id| harness.set_up_conn(id).expect("a set-up"));
+    for (id, conn) in [7, 8].into_iter().zip(conns) {
+        harness.server_sends(conn, answer(id));
+    }
+    let (spare, _) = harness.dialled.pop_first().expect("one connection is kept spare");
+    harness.handle(Input::DialFailed(spare, false));
+    harness.advance_with_ping_replies(500 * MS);
+    harness.handle(Input::ServerDown(conns[0]));
+    let (failed, _) = harness.dialled.pop_first().expect("dialled");
+    harness.handle(Input::DialFailed(failed, false));
+    harness.advance_with_ping_replies(500 * MS);
+    let (replacement, _) = harness.dialled.pop_first().expect("dialled again");
+    harness.handle(Input::ServerUp(replacement));
+    harness.advance(200 * MS);
+    harness.server_sends(replacement, Message::release(call(7), Cause::NORMAL));
+    assert_eq!(harness.sent_to_caller(7).last(), Some(&(1, MessageType::Release, Some(Cause::NORMAL))));
+    // It is surplus once nothing more arrives.
+    harness.advance(1_100 * MS);
+    assert_eq!(harness.closed_servers, [replacement]);
+}
+
 /// Guards against a pool that never grows again after one failed dial: the limit that a refusal lowers rises by
 /// one connection in 10 s, and the next one is dialled then.
 #[test]
