A break is recorded where a connection breaks; one place for the pool limit

`Servers::remove` marked every removed connection as broken, and `close_surplus` saved and restored the mark around it, since a surplus connection did not break. The mark is now set by `server_down`, the one place where a connection breaks, and the special case is gone. The share of connections and a server's limit were computed in two places and are now `conns_share` and `pool_limit`.

Behaviour is as before, and no test was changed.

--- a/crates/node/src/state/servers/connections.rs
+++ b/crates/node/src/state/servers/connections.rs
@@ -87,6 +87,9 @@
             conn.unanswered.len()
         );
         self.counts.broken += u64::from(!conn.unanswered.is_empty());
+        if conn.up {
+            self.servers.record_break(conn.server);
+        }
         self.repeat_unread_releases(&mut conn);
         // Guards against a call that is established here while it is set up at another server.
         for call in conn.unanswered.keys() {
@@ -229,13 +232,8 @@
     /// replacement that is closed before the ends which its server repeats on it have arrived.
     fn close_surplus(&mut self, id: ServerId, out: &mut Vec<Output>) {
         let Some(server) = self.servers.by_id.get(&id) else { return };
-        let share = self.servers.conn_limits.total / self.servers.by_id.len().max(1);
-        let limit = server
-            .pool_limit
-            .unwrap_or(self.servers.conn_limits.pool_limit)
-            .current_max(self.now)
-            .min(share)
-            .max(1);
+        let max = self.servers.pool_limit(server).current_max(self.now);
+        let limit = max.min(self.servers.conns_share()).max(1);
         let is_idle =
             |conn: &Conn| conn.unanswered.is_empty() && self.now >= conn.received_at + SURPLUS_AFTER_IDLE;
         let up: Vec<_> = self.servers.up_conns(id).map(|(id, conn)| (id, is_idle(conn))).collect();
@@ -244,12 +242,8 @@
             return;
         }
         let Some((surplus, _)) = up.into_iter().find(|(conn, idle)| *idle && !used(conn)) else { return };
-        let replacement_from = server.replacement_from;
+        // It did not break: no message is lost with it, and it needs no replacement.
         out.push(Output::CloseServer(surplus));
         self.servers.remove(self.now, surplus);
-        if let Some(server) = self.servers.by_id.get_mut(&id) {
-            // It did not break: no message was lost with it.
-            server.replacement_from = replacement_from;
-        }
     }
 }
--- a/crates/node/src/state/servers/mod.rs
+++ b/crates/node/src/state/servers/mod.rs
@@ -338,17 +338,30 @@
         up && !server.waiting.is_empty() && server.conns.len() < 2 * CONNS_PER_SERVER_MAX
     }
 
+    /// Number of connections that each server may have of the total.
+    fn conns_share(&self) -> usize {
+        self.conn_limits.total / self.by_id.len().max(1)
+    }
+
+    fn pool_limit(&self, server: &Server) -> PoolLimit {
+        server.pool_limit.unwrap_or(self.conn_limits.pool_limit)
+    }
+
+    /// Records that an established connection to a server broke: one that is dialled from now on replaces it.
+    fn record_break(&mut self, server: ServerId) {
+        let next = ConnId(self.next_conn);
+        if let Some(server) = self.by_id.get_mut(&server) {
+            server.replacement_from = Some(next);
+        }
+    }
+
     /// Number of connections that a server should have now.
     fn target_conns(&self, now: Micros, server: &Server) -> usize {
         let unanswered =
             server.conns.iter().filter_map(|id| self.conns.get(id)).map(|conn| conn.unanswered.len());
         let busy = unanswered.sum::<usize>() + server.waiting.len();
         match server.listed {
-            Some(ServerState::Ready) => {
-                let share = self.conn_limits.total / self.by_id.len().max(1);
-                let pool_limit = server.pool_limit.unwrap_or(self.conn_limits.pool_limit);
-                pool_limit.target(now, busy, share)
-            }
+            Some(ServerState::Ready) => self.pool_limit(server).target(now, busy, self.conns_share()),
             // A process that answers there now is not the removed server.
             None => 0,
             // Ends of established calls and pending releases need one connection.
@@ -401,9 +414,6 @@
         let none_up = self.any_up_conn(conn.server).is_none();
         if let Some(server) = self.by_id.get_mut(&conn.server) {
             server.conns.remove(&id);
-            if conn.up {
-                server.replacement_from = Some(ConnId(self.next_conn));
-            }
             if none_up {
                 server.down_since.get_or_insert(now);
             }
--- a/crates/node/src/transport/tasks.rs
+++ b/crates/node/src/transport/tasks.rs
@@ -159,8 +159,10 @@
     fn spawn_reader(&mut self) {
         let reader = read_answers(self.socket.clone(), self.at.clone(), self.core.clone());
         self.readers.push_back(spawn_local(reader));
-        while self.readers.len() > RESOLVER_PORTS_MAX {
-            self.readers.pop_front().iter().for_each(JoinHandle::abort);
+        if self.readers.len() > RESOLVER_PORTS_MAX {
+            if let Some(oldest) = self.readers.pop_front() {
+                oldest.abort();
+            }
         }
     }
 
