--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -8,7 +8,6 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::os::fd::AsRawFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{mpsc, Arc, Mutex, MutexGuard, PoisonError};
@@ -40,7 +39,7 @@
 
 /// Sends a signal, such as `-STOP`, to a process of this run.
 pub fn signal(process: u32, which: &str) {
-    let _ = Command::new("kill").args([which, &process.to_string()]).status();
+    let _ = Command::new("/bin/sh").args(["-c", &format!("kill {which} {process}")]).status();
 }
 
 /// Ends the run and all its processes.
@@ -336,8 +335,6 @@
     next: u64,
     /// Open connections, for writing.
     conns: BTreeMap<u64, TcpStream>,
-    /// Connections on which a set-up came, so that they lead to the front node under test.
-    set_up_conns: BTreeSet<u64>,
     /// Set-ups without an end, with their connection.
     open: BTreeMap<u64, u64>,
     /// Calls that stand, with the connection of their set-up.
@@ -349,12 +346,6 @@
     /// Releases that also go out on the next connection.
     repeat: Vec<Message>,
     set_ups: u64,
-    refusing: bool,
-    gone: bool,
-    /// Limit on the connections: beyond it an idle one makes room, and without one new ones are refused.
-    limit: Option<usize>,
-    /// When a connection was opened or had its last set-up.
-    used_at: BTreeMap<u64, u64>,
 }
 
 #[derive(Clone)]
@@ -403,59 +394,17 @@
     }
 
     fn accept_all(&self, listener: TcpListener) {
-        let mut listener = Some(listener);
-        loop {
-            let (refusing, gone) = {
-                let state = lock(&self.state);
-                (state.refusing || self.is_full(&state), state.gone)
-            };
-            if gone {
-                return;
-            }
-            if refusing {
-                listener = None;
-            } else if listener.is_none() {
-                listener = TcpListener::bind(self.addr).ok();
-            }
-            if let Some(listener) = &listener {
-                let _ = listener.set_nonblocking(true);
-                if let Ok((stream, _)) = listener.accept() {
-                    let _ = stream.set_nonblocking(false);
-                    if let Some((own, id)) = self.open(&stream) {
-                        thread::spawn(move || own.serve(id, stream));
-                    }
-                    continue;
-                }
+        while let Ok((stream, _)) = listener.accept() {
+            if let Some(id) = self.open(&stream) {
+                let own = self.clone();
+                thread::spawn(move || own.serve(id, stream));
             }
-            sleep(1);
         }
     }
 
-    /// Whether the limit is reached and no connection is idle for 3 s.
-    fn is_full(&self, state: &ServerState) -> bool {
-        state.limit.is_some_and(|limit| state.conns.len() >= limit) && self.oldest_idle(state).is_none()
-    }
-
-    fn oldest_idle(&self, state: &ServerState) -> Option<u64> {
-        let now = self.record.now();
-        let idle = state.used_at.iter().filter(|(id, at)| {
-            state.conns.contains_key(id) && now >= **at + 3_000 && state.open.values().all(|conn| conn != *id)
-        });
-        idle.min_by_key(|(_, at)| **at).map(|(id, _)| *id)
-    }
-
-    fn open(&self, stream: &TcpStream) -> Option<(Self, u64)> {
+    fn open(&self, stream: &TcpStream) -> Option<u64> {
         let _ = stream.set_nodelay(true);
         let mut state = lock(&self.state);
-        if state.gone {
-            return None;
-        }
-        if state.limit.is_some_and(|limit| state.conns.len() >= limit) {
-            let idle = self.oldest_idle(&state)?;
-            let conn = state.conns.remove(&idle)?;
-            self.put(format!("closes connection {idle}, idle for 3 s, to make room"));
-            let _ = conn.shutdown(Shutdown::Both);
-        }
         state.next += 1;
         let id = state.next;
         let writer = stream.try_clone().ok()?;
@@ -466,8 +415,7 @@
             let _ = (&writer).write_all(&release.bytes());
         }
         state.conns.insert(id, writer);
-        state.used_at.insert(id, self.record.now());
-        Some((self.clone(), id))
+        Some(id)
     }
 
     fn serve(&self, id: u64, mut stream: TcpStream) {
@@ -493,9 +441,6 @@
                 self.put(format!("receives set-up {call:x} on connection {id}"));
                 let mut state = lock(&self.state);
                 state.set_ups += 1;
-                state.set_up_conns.insert(id);
-                let now = self.record.now();
-                state.used_at.insert(id, now);
                 state.open.insert(call, id);
                 drop(state);
                 if self.answer_after.is_zero() {
@@ -522,7 +467,7 @@
 
     fn answer(&self, id: u64, call: u64) {
         let mut state = lock(&self.state);
-        if state.gone || state.open.get(&call) != Some(&id) {
+        if state.open.get(&call) != Some(&id) {
             return;
         }
         state.open.remove(&call);
@@ -563,45 +508,6 @@
         self.put(format!("call {call:x} stands, set up by another front node"));
     }
 
-    /// Closes the connections without a set-up in progress, in order.
-    pub fn close_idle(&self) {
-        let state = lock(&self.state);
-        let idle = state.conns.iter().filter(|(id, _)| state.open.values().all(|conn| conn != *id));
-        for (id, conn) in idle {
-            self.put(format!("closes idle connection {id}"));
-            let _ = conn.shutdown(Shutdown::Both);
-        }
-    }
-
-    /// Whether new connections are refused.
-    pub fn set_refusing(&self, refusing: bool) {
-        lock(&self.state).refusing = refusing;
-        self.put(format!("{} new connections", if refusing { "refuses" } else { "accepts" }));
-        // The listener is closed or opened by the accepting thread within a few milliseconds.
-        sleep(10);
-    }
-
-    pub fn set_limit(&self, limit: usize) {
-        lock(&self.state).limit = Some(limit);
-        self.put(format!("holds {limit} connections at most"));
-    }
-
-    /// The process dies: its connections are reset and its calls are cut.
-    pub fn die(&self) {
-        let mut state = lock(&self.state);
-        state.gone = true;
-        state.open.clear();
-        state.standing.clear();
-        for conn in std::mem::take(&mut state.conns).into_values() {
-            reset_on_close(&conn);
-            // The reader holds a second descriptor: it ends by this shutdown.
-            let _ = conn.shutdown(Shutdown::Both);
-        }
-        drop(state);
-        self.put("process gone, its calls are cut");
-        sleep(5);
-    }
-
     pub fn conns(&self) -> usize {
         lock(&self.state).conns.len()
     }
@@ -614,10 +520,6 @@
         lock(&self.state).standing.keys().copied().collect()
     }
 
-    pub fn in_set_up(&self, call: u64) -> bool {
-        lock(&self.state).open.contains_key(&call)
-    }
-
     pub fn released_at(&self, call: u64) -> Option<u64> {
         lock(&self.state).released.get(&call).copied()
     }
@@ -797,18 +699,6 @@
     }
 }
 
-/// Lets the close of a connection reset it.
-fn reset_on_close(stream: &TcpStream) {
-    extern "C" {
-        fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, size: u32) -> i32;
-    }
-    const SOL_SOCKET: i32 = 1;
-    const SO_LINGER: i32 = 13;
-    let value = [1i32, 0];
-    // SAFETY: `value` is a `struct linger` of two ints and lives through the call.
-    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, value.as_ptr(), 8) };
-}
-
 // --- callers ---
 
 #[derive(Default)]
