--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -69,7 +69,8 @@
     pub detached_attempts: usize,
     /// Servers in the pool.
     pub servers: usize,
-    /// A release that is unanswered for this long counts as done.
+    /// A release that is unanswered for this long counts as done; 0 where the protocol has no reply to a
+    /// release, which is done once it is sent.
     pub release_timeout: Micros,
     /// An established call whose owner has had no link for this long is released.
     pub client_absence: Micros,
@@ -410,7 +411,12 @@
             }),
             Action::SendPeerMessage { to, payload } => out.push(Output::SendToPeer { to, payload }),
             Action::Subscribe => out.push(Output::Subscribe),
-            Action::Timer { at, token } => self.timers.set(at, Timer::Policy(token)),
+            Action::Timer { at, token, call: None } => self.timers.set(at, Timer::Policy(token)),
+            Action::Timer { at, token, call: Some(call) } => {
+                if self.calls.contains_key(&call) {
+                    self.timers.set_for_call(at, Timer::Policy(token), call);
+                }
+            }
             Action::Log(text) => out.push(Output::Log(text)),
         }
     }
@@ -471,7 +477,7 @@
         if let Some(active) = self.calls.get_mut(&id) {
             active.phase = Phase::InFlight(attempt);
         }
-        self.timers.set(now.saturating_add(timeout), Timer::Attempt(attempt));
+        self.timers.set_for_call(now.saturating_add(timeout), Timer::Attempt(attempt), id);
         self.counts.set_ups += 1;
         let call = id;
         out.push(Output::SetUp {
@@ -591,7 +597,7 @@
         let id = self.new_call_id();
         let answer_by =
             self.now.saturating_add(offer.caller_timeout).saturating_sub(ANSWER_MARGIN).max(self.now);
-        self.timers.set(answer_by, Timer::Deadline(id));
+        self.timers.set_for_call(answer_by, Timer::Deadline(id), id);
         *self.in_set_up.entry(offer.request.link).or_default() += 1;
         let active = ActiveCall {
             waiting: vec![offer.request],
@@ -614,7 +620,7 @@
         // and restarted at once.
         let gone_at = self.previous_process_gone_at();
         if offer.retransmission == Retransmission::Repeated && self.now < gone_at {
-            self.timers.set(gone_at, Timer::Deferred(id));
+            self.timers.set_for_call(gone_at, Timer::Deferred(id), id);
             if let Some(active) = self.calls.get_mut(&id) {
                 active.deferred = Some((self.now, call));
             }
@@ -717,7 +723,8 @@
             active.waiting.retain(|request| request.link != link);
             if last_link {
                 active.client_absent_since = Some(self.now);
-                self.timers.set(self.now.saturating_add(self.limits.client_absence), Timer::ClientAbsent(id));
+                let due = self.now.saturating_add(self.limits.client_absence);
+                self.timers.set_for_call(due, Timer::ClientAbsent(id), id);
             }
         }
     }
@@ -748,6 +755,7 @@
             Final::Failed => self.counts.failed += 1,
         }
         active.payload = None;
+        self.timers.cancel(id);
         for request in std::mem::take(&mut active.waiting) {
             remove_waiting(&mut self.in_set_up, request.link);
             out.push(Output::Answer { request, session: active.session.clone(), answer });
@@ -757,6 +765,7 @@
     /// Removes a call and caches its answer.
     fn forget_call(&mut self, id: CallId, answer: Final) {
         let Some(active) = self.calls.remove(&id) else { return };
+        self.timers.cancel(id);
         self.sessions.remove(&active.session);
         if let Some(ids) = self.by_owner.get_mut(&active.session.owner) {
             ids.remove(&id);
@@ -856,9 +865,13 @@
         attempt.stage = Stage::Releasing { report_end };
         let Attempt { server, class, .. } = *attempt;
         if self.pool.link_state(server) != LinkState::Down {
-            self.timers.set(self.now.saturating_add(self.limits.release_timeout), Timer::Release(id));
             self.counts.releases += 1;
             out.push(Output::Release { attempt: id, server, class });
+            if self.limits.release_timeout == 0 {
+                return self.release_done(id, Report::default());
+            }
+            let due = self.now.saturating_add(self.limits.release_timeout);
+            self.timers.set(due, Timer::Release(id));
             return;
         }
         if report_end {
--- a/crates/call/tests/calls.rs
+++ b/crates/call/tests/calls.rs
@@ -22,6 +22,26 @@
     assert_eq!((harness.engine.active_calls(), harness.engine.detached_attempts()), (0, 0));
 }
 
+/// Guards against memory that grows with the rate at which callers cancel their calls: nothing of an ended call
+/// waits for the time at which its timers would have been due.
+#[test]
+fn cancelled_calls_leave_no_timers_and_no_attempts() {
+    let mut harness = Harness::new(Limits { release_timeout: 0, ..Limits::default() });
+    harness.offer(1);
+    let timers_of_one_call = harness.engine.pending_timers();
+    harness.input(Input::Released { session: session(1), request: request(1, 1) });
+    let idle = harness.engine.pending_timers();
+    assert!(idle < timers_of_one_call);
+    for id in 2..500 {
+        assert_eq!(set_ups(&harness.offer(id)), 1);
+        harness.input(Input::Released { session: session(id), request: request(1, u64::from(id)) });
+    }
+    assert_eq!((harness.engine.pending_timers(), harness.engine.detached_attempts()), (idle, 0));
+    // An established call waits for nothing either.
+    harness.establish(500);
+    assert_eq!(harness.engine.pending_timers(), idle);
+}
+
 #[test]
 fn timed_out_attempt_is_released_and_retried_after_hold_off() {
     let mut harness = Harness::new(Limits::default());
--- a/crates/day/src/baseline.rs
+++ b/crates/day/src/baseline.rs
@@ -65,7 +65,7 @@
     fn accept(&mut self, now: Micros, call: &Call, actions: &mut Vec<Action>) {
         let answer_by = now + call.caller_timeout.saturating_sub(ANSWER_MARGIN);
         self.calls.insert(call.id, Pending { answer_by, attempts: 0, not_before: now, in_flight: None });
-        actions.push(Action::Timer { at: answer_by, token: u64::from(call.id) });
+        actions.push(Action::Timer { at: answer_by, token: u64::from(call.id), call: Some(call.id) });
         self.send_next(now, call.id, actions);
     }
 }
@@ -94,7 +94,7 @@
                 } else if matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
                     let at = now + self.settings.retry_holdoff + 2_000;
                     pending.not_before = at;
-                    actions.push(Action::Timer { at, token: u64::from(call) });
+                    actions.push(Action::Timer { at, token: u64::from(call), call: Some(call) });
                 } else {
                     self.send_next(now, call, actions);
                 }
--- a/crates/emulator/src/warm_up.rs
+++ b/crates/emulator/src/warm_up.rs
@@ -208,7 +208,7 @@
         for action in actions {
             match action {
                 Action::Send { call, server, .. } => self.send(front, call, server),
-                Action::Timer { at, token } => {
+                Action::Timer { at, token, .. } => {
                     self.queue.schedule(at, SimEvent::Timer(front, process, token))
                 }
                 Action::SendPeerMessage { to, payload } => {
--- a/crates/node/src/state/mod.rs
+++ b/crates/node/src/state/mod.rs
@@ -232,6 +232,8 @@
             cached_answers: ANSWER_CACHE_MAX,
             cached_answer_ttl: ANSWER_CACHE_TTL,
             servers: baydrift_platform::server_list::SERVERS_MAX,
+            // A server's reply to a release has no meaning.
+            release_timeout: 0,
             drain_grace: config.site.grace,
             ..Limits::default()
         };
--- a/src/bin/baydrift-wirehost/host.rs
+++ b/src/bin/baydrift-wirehost/host.rs
@@ -286,7 +286,7 @@
             put_head(out, 1100, front);
             out.push(1);
         }
-        Action::Timer { at, token } => {
+        Action::Timer { at, token, .. } => {
             put_head(out, 1050, front);
             put_seconds(out, *at);
             out.extend_from_slice(&token.to_le_bytes());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -404,6 +404,9 @@
         at: Micros,
         /// Returned with [`Event::Timer`].
         token: u64,
+        /// The call that the timer is for. Once that call has its final answer, the timer has no effect and
+        /// may be dropped.
+        call: Option<CallId>,
     },
     /// Write a line to the log.
     Log(String),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,7 +65,7 @@
 //!             println!("set up call {call} at server {server} within {timeout} us")
 //!         }
 //!         Action::Refuse { call, .. } | Action::Fail(call) => println!("refuse call {call}"),
-//!         Action::Timer { at, token } => println!("wake at {at} with {token}"),
+//!         Action::Timer { at, token, .. } => println!("wake at {at} with {token}"),
 //!         other => println!("{other:?}"),
 //!     }
 //! }
@@ -76,6 +76,7 @@
 #![forbid(unsafe_code)]
 
 pub mod config;
+mod first_dialled;
 mod gossip;
 pub mod interface;
 mod measure;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,6 +8,7 @@
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::first_dialled::FirstDialled;
 use crate::gossip::{self, LoadHint};
 use crate::interface::*;
 use crate::measure::{low_pass_step, micros, seconds, uniform, valid, RateMeter};
@@ -81,6 +82,8 @@
 const PEER_SAMPLES_MIN: f64 = 3.0;
 /// Number of the latest load hints that this mean covers.
 const PEER_SAMPLES_MAX: f64 = 20.0;
+/// Maximum number of dialled numbers that are remembered.
+const FIRST_DIALLED_MAX: usize = 16_384;
 /// Number of recent calls against which a call's worth is ranked.
 const RECENT_CALLS: usize = 200;
 /// Time constant of a tenant's arrival rate.
@@ -121,6 +124,11 @@
 /// Kind of the timer that sends a held call; its token is built like that of the deadline.
 const TOKEN_RESEND: u64 = 3;
 
+/// A timer of a call, of the given kind.
+fn call_timer(at: Micros, call: CallId, kind: u64) -> Action {
+    Action::Timer { at, token: u64::from(call) << 2 | kind, call: Some(call) }
+}
+
 /// The reported value that drives a server's reject fraction, in order of preference.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Signal {
@@ -338,7 +346,7 @@
     /// Worth of the most recent calls.
     recent_worths: VecDeque<f64>,
     /// When each number was first dialled, kept for as long as its caller may still retry.
-    first_dialled: BTreeMap<u64, Micros>,
+    first_dialled: FirstDialled,
     last_tick_at: Option<Micros>,
     /// Time of the current turn.
     turn_at: Micros,
@@ -358,6 +366,7 @@
     /// Returns an error when a setting is out of its range.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
+        let longest_deadline = settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         Ok(Self {
             rng: Pcg64Mcg::seed_from_u64(seed),
             servers: BTreeMap::new(),
@@ -369,7 +378,7 @@
             peer_carried: BTreeMap::new(),
             first_tick_at: None,
             recent_worths: VecDeque::new(),
-            first_dialled: BTreeMap::new(),
+            first_dialled: FirstDialled::new(longest_deadline, FIRST_DIALLED_MAX),
             last_tick_at: None,
             turn_at: 0,
             received_from: 0,
@@ -402,7 +411,7 @@
             Event::Call(call) => self.admit(now, call, actions),
             Event::Established { call, attempt, server, lag } => {
                 if let Some(pending) = self.calls.remove(&call) {
-                    self.first_dialled.remove(&pending.call.number);
+                    self.first_dialled.remove(pending.call.number);
                 }
                 self.remove_unanswered(call, attempt);
                 if let Some(server) = self.servers.get_mut(&server) {
@@ -490,7 +499,7 @@
     /// pending input, drains above all, is handled before anything is sent.
     fn resume_after_stall(&mut self, now: Micros, late: Micros, actions: &mut Vec<Action>) {
         (self.received_from, self.last_tick_at) = (now - late, Some(now));
-        actions.push(Action::Timer { at: now + TICK_INTERVAL, token: TOKEN_TICK });
+        actions.push(Action::Timer { at: now + TICK_INTERVAL, token: TOKEN_TICK, call: None });
         for server in self.servers.values_mut() {
             server.refilled_at = now;
         }
@@ -509,7 +518,7 @@
         let dt_s = self.last_tick_at.map_or(0.0, |at| seconds(now.saturating_sub(at)));
         self.last_tick_at = Some(now);
         self.first_tick_at.get_or_insert(now);
-        actions.push(Action::Timer { at: now + TICK_INTERVAL, token: TOKEN_TICK });
+        actions.push(Action::Timer { at: now + TICK_INTERVAL, token: TOKEN_TICK, call: None });
         let warm_up_time = self.settings.warm_up_time;
         let cold = self.servers.iter().filter(|(_, server)| server.is_cold(now, warm_up_time));
         let rates: Vec<_> = cold.map(|(id, server)| (*id, self.warm_up_rate(now, server))).collect();
@@ -535,8 +544,7 @@
                 actions.push(Action::Probe(*id));
             }
         }
-        let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
-        self.first_dialled.retain(|_, at| now < at.saturating_add(longest));
+        self.first_dialled.expire(now);
         self.gossip(now, actions);
     }
 
@@ -569,7 +577,11 @@
     /// Applies the server list or changes to it.
     fn update_servers(&mut self, now: Micros, kind: ListKind, entries: &[Entry], actions: &mut Vec<Action>) {
         if kind == ListKind::Failed {
-            return actions.push(Action::Timer { at: now + SUBSCRIBE_RETRY, token: TOKEN_SUBSCRIBE });
+            return actions.push(Action::Timer {
+                at: now + SUBSCRIBE_RETRY,
+                token: TOKEN_SUBSCRIBE,
+                call: None,
+            });
         }
         let mut leaving = Vec::new();
         if kind == ListKind::Full {
@@ -613,9 +625,9 @@
         // Avoids work for callers past their target time: a number dialled again at this front is most likely
         // the same caller, whose target time runs from the first try. It starts anew for a dropped call.
         if call.redial == Some(false) || call.was_dropped || call.number == 0 {
-            self.first_dialled.remove(&call.number);
+            self.first_dialled.remove(call.number);
         }
-        let first_at = *self.first_dialled.entry(call.number).or_insert(now);
+        let first_at = self.first_dialled.get_or_insert(now, call.number);
         let target_at = first_at + class.aim;
         let mut worth = self.worth_of(now, &call);
         if target_at <= now {
@@ -629,7 +641,7 @@
         let pending =
             PendingCall { call, worth, target_at, answer_by, not_before: now, ..PendingCall::default() };
         self.calls.insert(id, pending);
-        actions.push(Action::Timer { at: answer_by.max(now), token: u64::from(id) << 2 | TOKEN_DEADLINE });
+        actions.push(call_timer(answer_by.max(now), id, TOKEN_DEADLINE));
         self.route(now, id, actions);
     }
 
@@ -787,7 +799,7 @@
             return self.reject(id, actions);
         }
         if self.is_resuming() {
-            return actions.push(Action::Timer { at: now + 1, token: u64::from(id) << 2 | TOKEN_RESEND });
+            return actions.push(call_timer(now + 1, id, TOKEN_RESEND));
         }
         let Some(choice) = self.choose_server(now, id) else {
             return self.reject(id, actions);
@@ -814,10 +826,7 @@
                 return self.reject(id, actions);
             } else if server.tokens < 1.0 {
                 (pending.held_for, pending.not_before) = (Some(choice), now + TICK_INTERVAL);
-                return actions.push(Action::Timer {
-                    at: now + TICK_INTERVAL,
-                    token: u64::from(id) << 2 | TOKEN_RESEND,
-                });
+                return actions.push(call_timer(now + TICK_INTERVAL, id, TOKEN_RESEND));
             }
             server.tokens -= 1.0;
         }
@@ -930,7 +939,7 @@
             return self.route(now, id, actions);
         }
         pending.not_before = now + holdoff + HOLDOFF_SLACK;
-        actions.push(Action::Timer { at: pending.not_before, token: u64::from(id) << 2 | TOKEN_RESEND });
+        actions.push(call_timer(pending.not_before, id, TOKEN_RESEND));
     }
 
     /// Gives the final answer: failed if an attempt may have run and the class must not repeat, else refused.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -184,7 +184,7 @@
 
 pub fn timers(actions: &[Action]) -> Vec<(Micros, u64)> {
     let timer = |a: &Action| match a {
-        Action::Timer { at, token } => Some((*at, *token)),
+        Action::Timer { at, token, .. } => Some((*at, *token)),
         _ => None,
     };
     actions.iter().filter_map(timer).collect()
