--- a/crates/node/src/state/batch.rs
+++ b/crates/node/src/state/batch.rs
@@ -55,18 +55,18 @@
 }
 
 /// Sorts a batch by priority; the sort is stable. A set-up becomes [`Input::Withdrawn`] if a later input of
-/// the batch closes its caller's connection or releases its call.
+/// the batch closes its connection, or releases its call on that connection.
 pub fn sort_batch<A: AsRef<Input> + AsMut<Input>>(batch: &mut [A]) {
     let (mut closed, mut released) = (BTreeSet::new(), BTreeSet::new());
     for entry in batch.iter_mut().rev() {
         let input = entry.as_mut();
         match input {
             Input::CallerDown(link) => drop(closed.insert(*link)),
-            Input::FromCaller(_, message) if message.kind == MessageType::Release => {
-                released.insert(message.call);
+            Input::FromCaller(link, message) if message.kind == MessageType::Release => {
+                released.insert((*link, message.call));
             }
             Input::FromCaller(link, message) if setup::is_offer(message) => {
-                let obsolete = closed.contains(link) || released.contains(&message.call);
+                let obsolete = closed.contains(link) || released.contains(&(*link, message.call));
                 *input = if obsolete { Input::Withdrawn(*link) } else { continue };
             }
             _ => {}
--- a/crates/node/src/state/callers.rs
+++ b/crates/node/src/state/callers.rs
@@ -215,9 +215,13 @@
         self.calls.insert(call, Caller { link, ip: Some(own.ip), established: true, bytes: 0 });
     }
 
-    /// Handles a caller's release, which cancels a set-up or ends an established call.
+    /// Handles a caller's release, which ends an established call, or cancels a set-up if it comes on the
+    /// connection of that. Guards against a client that uses the id of another caller's set-up.
     fn handle_caller_release(&mut self, link: LinkId, call: CallId, out: &mut Vec<Output>) {
         let Some(caller) = self.calls.get(&call).copied() else { return };
+        if !caller.established && caller.link != link {
+            return tracing::debug!("{call}: release on link {} ignored, not its caller's", link.0);
+        }
         tracing::trace!("{call}: released by its caller, established {}", caller.established);
         if let Some(own) = self.links.get_mut(&link) {
             own.useful |= caller.established;
--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -94,6 +94,27 @@
     assert!(harness.sent_to_caller(8).is_empty());
 }
 
+/// Guards against an open set-up that is dropped without an answer: another client has sent a set-up of the same
+/// id, which was refused, and cancels it, or disconnects.
+#[test]
+fn release_by_another_client_does_not_cancel_a_set_up() {
+    let mut harness = Harness::connected();
+    harness.caller(2);
+    harness.caller_sends(1, set_up(7, "1500"));
+    let conn = harness.set_up_conn(7).expect("a set-up");
+    harness.caller_sends(2, set_up(7, "1500").with(ParameterCode::LOAD_REPORT, "x"));
+    assert_eq!(harness.sent_to_caller(7), [(2, MessageType::Release, Some(Cause::INVALID))]);
+    harness.caller_sends(2, Message::release(call(7), Cause::NORMAL));
+    harness.handle(Input::CallerDown(LinkId(2)));
+    assert!(harness.releases_sent(7).is_empty(), "the attempt goes on");
+    harness.server_sends(conn, answer(7));
+    assert_eq!(harness.sent_to_caller(7).last(), Some(&(1, MessageType::Answer, None)));
+    // Its own caller may still cancel.
+    harness.caller_sends(1, set_up(8, "1500"));
+    harness.caller_sends(1, Message::release(call(8), Cause::NORMAL));
+    assert_eq!(harness.releases_sent(8).len(), 1);
+}
+
 /// Guards against the engine's answer cache, which serves retransmissions: a set-up with a used id is never
 /// answered from it as established.
 #[test]
