--- a/crates/node/src/state/servers/connections.rs
+++ b/crates/node/src/state/servers/connections.rs
@@ -5,14 +5,10 @@
 
 use baydrift::interface::{Micros, Outcome, ServerId, ServerState};
 use baydrift_call::{AttemptEnd, AttemptId};
-use baydrift_platform::{CallId, Message, MessageType, ParameterCode};
 
-use super::{write, Conn, ConnId, OwedRelease, PING_AFTER_IDLE, PING_TIMEOUT, RELEASE_WRITES_MAX};
+use super::{Conn, ConnId, OwedRelease, RELEASE_READ_AFTER, RELEASE_WRITES_MAX};
 use crate::state::{Node, Output};
 
-/// Time within which a partly received message must be complete: messages are small,
-/// and a stalled one blocks all that follow.
-const PARTIAL_MESSAGE_TIMEOUT: Micros = 500_000;
 /// Time after which the calls at an unreachable server are considered lost:
 /// callers must be notified within 8 s.
 const UNREACHABLE_TIMEOUT: Micros = 3_500_000;
@@ -31,6 +27,7 @@
         let owner = conn.server;
         let Some(server) = self.servers.by_id.get_mut(&owner) else { return };
         (server.dial_failures, server.refuses, server.down_since) = (0, false, None);
+        server.accepted_at = now;
         server.record_replacement(id);
         let (waiting, releases) =
             (std::mem::take(&mut server.waiting), std::mem::take(&mut server.pending_releases));
@@ -54,6 +51,14 @@
         let now = self.now;
         let Some(conn) = self.servers.remove(now, id) else { return };
         tracing::debug!("{:x}: connection {} not up, refused {refused}", conn.server, id.0);
+        let silent = self.servers.conns_of_silent_server(conn.server);
+        if let Some(server) = self.servers.by_id.get_mut(&conn.server) {
+            server.record_failed_dial(now);
+        }
+        // The server does not hang: it cannot be reached.
+        for silent in silent {
+            self.close_broken(silent, &"ping timed out, and a dial failed", out);
+        }
         let up = self.servers.up_conns(conn.server).count();
         let pool_limit = self.servers.conn_limits.pool_limit;
         let Some(server) = self.servers.by_id.get_mut(&conn.server) else { return };
@@ -61,7 +66,6 @@
             // The server works but accepts no further connection.
             server.pool_limit.get_or_insert(pool_limit).record_refusal(now, up);
         }
-        server.record_failed_dial(now);
         server.refuses = refused && up == 0;
         if up > 0 {
             return;
@@ -107,6 +111,7 @@
     /// Queues the releases that may not have been read on a broken connection for the one that replaces it, but
     /// for calls that have been set up at the server again. The other connections may be breaking as well.
     fn repeat_unread_releases(&mut self, conn: &mut Conn) {
+        conn.unread_releases.remove_before(conn.received_at.saturating_sub(RELEASE_READ_AFTER));
         for release in conn.unread_releases.take_matching(self.now, |_| true) {
             let call = release.call;
             let is_set_up = conn.unanswered.contains_key(&call) || self.servers.has_set_up(conn.server, call);
@@ -127,11 +132,10 @@
         for id in self.servers.by_id.keys().copied().collect::<Vec<_>>() {
             self.check_server(id, out);
         }
-        let mut broken = self.misplaced_conns();
-        broken.extend(self.check_health(out));
-        for (id, why) in broken {
+        for (id, why) in self.misplaced_conns() {
             self.close_broken(id, &why, out);
         }
+        self.check_health(out);
     }
 
     /// Connections to another address than their server's. Guards against a server whose address has changed
@@ -143,24 +147,6 @@
         misplaced.map(|(id, _)| (*id, "the server's address has changed")).collect()
     }
 
-    /// Pings idle connections, and returns those that have timed out.
-    fn check_health(&mut self, out: &mut Vec<Output>) -> Vec<(ConnId, &'static str)> {
-        let (now, mut broken) = (self.now, Vec::new());
-        for (id, conn) in self.servers.conns.iter_mut().filter(|(_, conn)| conn.up) {
-            if conn.partial_since.is_some_and(|at| now >= at + PARTIAL_MESSAGE_TIMEOUT) {
-                broken.push((*id, "incomplete message timed out"));
-            } else if conn.pinged_at.is_some_and(|at| now >= at + PING_TIMEOUT) {
-                broken.push((*id, "ping timed out"));
-            } else if conn.pinged_at.is_none() && now >= conn.received_at + PING_AFTER_IDLE {
-                conn.pinged_at = Some(now);
-                let ping = Message::new(MessageType::HealthCheck, CallId::default())
-                    .with(ParameterCode::CAUSE, vec![0]);
-                write(out, *id, &ping);
-            }
-        }
-        broken
-    }
-
     fn check_server(&mut self, id: ServerId, out: &mut Vec<Output>) {
         self.expire_waiting_set_ups(id, out);
         self.check_reachable(id, out);
@@ -229,13 +215,17 @@
 
     /// Closes one connection above the server's limit: the oldest without an unanswered set-up or a call
     /// established on it, since ends of calls come first by the connection of their set-up. Guards against a
-    /// replacement that is closed before the ends which its server repeats on it have arrived.
+    /// replacement that is closed before the ends which its server repeats on it have arrived, and against the close
+    /// of one whose server may hang.
     fn close_surplus(&mut self, id: ServerId, out: &mut Vec<Output>) {
         let Some(server) = self.servers.by_id.get(&id) else { return };
         let max = self.servers.pool_limit(server).current_max(self.now);
         let limit = max.min(self.servers.conns_share()).max(1);
-        let is_idle =
-            |conn: &Conn| conn.unanswered.is_empty() && self.now >= conn.received_at + SURPLUS_AFTER_IDLE;
+        let is_idle = |conn: &Conn| {
+            conn.unanswered.is_empty()
+                && conn.pinged_at.is_none()
+                && self.now >= conn.received_at + SURPLUS_AFTER_IDLE
+        };
         let up: Vec<_> = self.servers.up_conns(id).map(|(id, conn)| (id, is_idle(conn))).collect();
         let used = |conn: &ConnId| self.attempts.values().any(|state| state.conn == Some(*conn));
         if up.len() <= limit {
--- a/crates/node/src/state/servers/messages.rs
+++ b/crates/node/src/state/servers/messages.rs
@@ -15,8 +15,11 @@
         out: &mut Vec<Output>,
     ) {
         let Some(conn) = self.servers.conns.get_mut(&id) else { return };
-        (conn.received_at, conn.pinged_at, conn.partial_since) = (self.now, None, None);
+        conn.record_message(self.now);
         let server = conn.server;
+        if let Some(server) = self.servers.by_id.get_mut(&server) {
+            server.record_message(self.now);
+        }
         let result = match message.kind {
             MessageType::LoadReport => self.read_report(message).map(|report| {
                 self.apply_to_engine(EngineInput::LoadReport { server, report }, out);
--- a/crates/node/src/state/servers/mod.rs
+++ b/crates/node/src/state/servers/mod.rs
@@ -15,6 +15,7 @@
 
 mod attempts;
 mod connections;
+mod health;
 mod messages;
 
 use super::expiring::ExpiringQueue;
@@ -45,8 +46,10 @@
 const UNCLAIMED_ENDS_TTL: Micros = 8_000_000;
 /// Maximum number of releases that a connection remembers until they are known to be read.
 const UNREAD_RELEASES_MAX: usize = 512;
-/// Time after which a release is taken for read: longer than a silent connection is kept.
-const UNREAD_RELEASES_TTL: Micros = PING_AFTER_IDLE + PING_TIMEOUT + 200_000;
+/// How long a connection remembers a release.
+const UNREAD_RELEASES_TTL: Micros = 60_000_000;
+/// A release is taken for read if a message was received on its connection this long after it.
+const RELEASE_READ_AFTER: Micros = PING_AFTER_IDLE + PING_TIMEOUT + 200_000;
 /// Maximum number of times that a release is written. Guards against releases that multiply while connections
 /// break again and again.
 const RELEASE_WRITES_MAX: u32 = 3;
@@ -101,10 +104,14 @@
     finished: ExpiringQueue<CallId>,
     /// Releases written on this connection that the server may not have read yet.
     unread_releases: ExpiringQueue<OwedRelease>,
-    /// Time of the last message received.
+    /// Time of the last message received, or when the connection came up.
     received_at: Micros,
+    /// A message was received.
+    heard: bool,
     /// Time of the unanswered ping.
     pinged_at: Option<Micros>,
+    /// The ping has timed out: when the unanswered set-ups were given up last.
+    given_up_at: Option<Micros>,
     /// Start of the partly received message.
     partial_since: Option<Micros>,
 }
@@ -127,7 +134,9 @@
             finished: ExpiringQueue::new((FINISHED_CALLS_MAX, FINISHED_CALLS_TTL)),
             unread_releases: ExpiringQueue::new((UNREAD_RELEASES_MAX, UNREAD_RELEASES_TTL)),
             received_at: now,
+            heard: false,
             pinged_at: None,
+            given_up_at: None,
             partial_since: None,
         }
     }
@@ -137,6 +146,20 @@
         self.unread_releases.remove_before(set_up_at);
     }
 
+    /// Records that a message was received.
+    fn record_message(&mut self, now: Micros) {
+        self.received_at = now;
+        self.heard = true;
+        self.pinged_at = None;
+        self.given_up_at = None;
+        self.partial_since = None;
+    }
+
+    /// Whether its ping has timed out.
+    fn is_silent(&self) -> bool {
+        self.given_up_at.is_some()
+    }
+
     fn has_finished(&self, call: CallId) -> bool {
         self.finished.any(|finished| *finished == call)
     }
@@ -164,6 +187,12 @@
     dial_at: Micros,
     /// Start of the time without an established connection.
     down_since: Option<Micros>,
+    /// When a connection to it came up last.
+    accepted_at: Micros,
+    /// Time of the last message received from it.
+    heard_at: Micros,
+    /// Start of the time in which messages were received from it without a long pause.
+    active_since: Micros,
     /// A connection broke, and no connection dialled since then has come up: the lowest id of one that was.
     replacement_from: Option<ConnId>,
 }
@@ -177,6 +206,14 @@
         self.pending_releases.push_back(release);
     }
 
+    /// Records that a message was received.
+    fn record_message(&mut self, now: Micros) {
+        if now >= self.heard_at + PING_AFTER_IDLE + PING_TIMEOUT {
+            self.active_since = now;
+        }
+        self.heard_at = now;
+    }
+
     /// Whether a broken connection has no replacement yet, not even one that is being dialled.
     fn lacks_replacement(&self) -> bool {
         self.replacement_from.is_some_and(|from| self.conns.range(from..).next().is_none())
@@ -312,12 +349,12 @@
     }
 
     /// Chooses the connection for a set-up: the one with the fewest unanswered
-    /// set-ups that this call has not used yet.
+    /// set-ups that this call has not used yet, a silent one last.
     fn conn_for_set_up(&self, server: ServerId, call: CallId) -> Option<ConnId> {
         let free = self
             .up_conns(server)
             .filter(|(_, conn)| !conn.has_finished(call) && !conn.unanswered.contains_key(&call));
-        free.min_by_key(|(id, conn)| (conn.unanswered.len(), *id)).map(|(id, _)| id)
+        free.min_by_key(|(id, conn)| (conn.is_silent(), conn.unanswered.len(), *id)).map(|(id, _)| id)
     }
 
     /// Whether a set-up of this call is unanswered or established at the server.
@@ -327,8 +364,9 @@
         established || self.up_conns(server).any(|(_, conn)| conn.unanswered.contains_key(&call))
     }
 
+    /// An established connection, if there is one: a silent one last.
     fn any_up_conn(&self, server: ServerId) -> Option<ConnId> {
-        self.up_conns(server).next().map(|(id, _)| id)
+        self.up_conns(server).min_by_key(|(id, conn)| (conn.is_silent(), *id)).map(|(id, _)| id)
     }
 
     /// Whether a set-up waits although connections are up, since its call has used each of them. Guards
@@ -371,8 +409,8 @@
         }
     }
 
-    /// Number of connections that a server lacks: for its set-ups, to replace a broken one, or for a set-up whose
-    /// call has used all the others.
+    /// Number of connections that a server lacks: for its set-ups, to replace a broken one, for a set-up whose
+    /// call has used all the others, or to show whether a silent server can be reached.
     fn missing_conns(&self, now: Micros, id: ServerId, server: &Server) -> usize {
         // One connection shows whether a server works that has none; otherwise the pool's limit applies.
         let down = server.dial_failures > 0 && self.any_up_conn(id).is_none();
@@ -382,8 +420,9 @@
         let needs_replacement = server.lacks_replacement()
             && server.listed.is_some()
             && server.conns.len() < 2 * CONNS_PER_SERVER_MAX;
-        let needs_extra = !self.is_dialling(server) && self.needs_extra_conn(server);
-        target.saturating_sub(server.conns.len()).max(usize::from(needs_replacement || needs_extra))
+        let needs_other = self.needs_extra_conn(server) || server.listed.is_some() && self.needs_probe(id);
+        let needs_other = needs_other && !self.is_dialling(server);
+        target.saturating_sub(server.conns.len()).max(usize::from(needs_replacement || needs_other))
     }
 
     fn is_dialling(&self, server: &Server) -> bool {
