--- a/crates/node/src/state/batch.rs
+++ b/crates/node/src/state/batch.rs
@@ -40,9 +40,7 @@
     /// Approximate size of the payload in bytes.
     pub fn size(&self) -> usize {
         match self {
-            Self::FromCaller(_, message) | Self::FromServer(_, message) => {
-                message.parameters.iter().map(|(_, value)| value.len()).sum()
-            }
+            Self::FromCaller(_, message) | Self::FromServer(_, message) => message.memory_size(),
             Self::DiscoveryAnswer(bytes) | Self::Peer(_, bytes) => bytes.len(),
             _ => 0,
         }
@@ -72,5 +70,5 @@
             _ => {}
         }
     }
-    batch.sort_by_key(|entry| entry.as_ref().rank());
+    batch.sort_by_cached_key(|entry| entry.as_ref().rank());
 }
--- a/crates/node/src/state/callers.rs
+++ b/crates/node/src/state/callers.rs
@@ -164,7 +164,7 @@
             link.in_set_up.insert(call);
         }
         let ip = self.links.get(&link).map(|link| link.ip);
-        let bytes = setup.description.len() + setup.class.len();
+        let bytes = message.memory_size();
         self.set_up_bytes += bytes;
         self.calls.insert(call, Caller { link, ip, established: false, bytes });
         if self.set_up_bytes > SET_UP_BYTES_MAX {
--- a/crates/node/src/transport/connection.rs
+++ b/crates/node/src/transport/connection.rs
@@ -176,7 +176,12 @@
                 let mut unsent = self.unsent.borrow_mut();
                 // Guards against a busy loop on a reset connection, which is always writable.
                 let Ok(sent) = self.try_write(&unsent) else { return self.broken.set(true) };
-                unsent.drain(..sent);
+                if sent == unsent.len() {
+                    // Frees the buffer, which may have grown large.
+                    *unsent = Vec::new();
+                } else {
+                    unsent.drain(..sent);
+                }
             }
         };
         // Guards against a peer that never reads: the buffer is bounded in size and time.
--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -3,6 +3,8 @@
 //! A message is a two-byte length, a type byte, an eight-byte call id and any number of parameters. Each
 //! parameter is a code byte, a two-byte length and a value. Integers are big-endian; the length of a message
 //! does not include the length field itself.
+//!
+//! Of a message with more than [`PARAMETERS_MAX`] parameters only those are decoded that a front node evaluates.
 
 use bytes::{Buf, Bytes, BytesMut};
 
@@ -90,8 +92,28 @@
     pub const CAUSE: u8 = 171;
     /// Session description, opaque bytes.
     pub const DESCRIPTION: u8 = 174;
+
+    /// All of them.
+    const ALL: [u8; 9] = [
+        Self::CLASS,
+        Self::TIMEOUT,
+        Self::TENANT,
+        Self::CALLED_NUMBER,
+        Self::ATTRIBUTES,
+        Self::NOTE,
+        Self::LOAD_REPORT,
+        Self::CAUSE,
+        Self::DESCRIPTION,
+    ];
 }
 
+/// Maximum number of parameters that are decoded whatever their code. Guards against messages of thousands of short
+/// parameters, each of which takes many times its size in memory.
+const PARAMETERS_MAX: usize = 32;
+/// Number of parameters of one code that are decoded beyond that: two show that it occurs more than once, which is
+/// invalid.
+const COPIES_MAX: usize = 2;
+
 /// Cause values that a front node distinguishes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Cause;
@@ -201,6 +223,11 @@
         }
     }
 
+    /// Memory that the parameters take, in bytes.
+    pub fn memory_size(&self) -> usize {
+        self.parameters.iter().map(|(_, value)| size_of::<(u8, Bytes)>() + value.len()).sum()
+    }
+
     /// Appends the encoded message to `out`.
     ///
     /// # Errors
@@ -229,20 +256,56 @@
         let kind = MessageType::read(body.get_u8())?;
         let mut id = [0; 8];
         body.copy_to_slice(&mut id);
-        let mut parameters = Vec::new();
-        while body.has_remaining() {
-            let at = size - body.len();
-            let code = body.get_u8();
-            if body.len() < 2 {
-                return Err(PlatformError::ParameterOverrun { code, at });
-            }
-            let length = usize::from(body.get_u16());
-            if length > body.len() {
-                return Err(PlatformError::ParameterOverrun { code, at });
-            }
-            parameters.push((code, body.split_to(length)));
+        let call = CallId(id);
+        let parameters = match count_parameters(&body, size)? {
+            0..=PARAMETERS_MAX => Parameters(body).collect(),
+            _ => evaluated_parameters(body),
+        };
+        Ok(Self { kind, call, parameters })
+    }
+}
+
+/// Counts the parameters in the rest of a message of this size.
+///
+/// # Errors
+/// If one is longer than the message.
+fn count_parameters(body: &Bytes, size: usize) -> Result<usize, PlatformError> {
+    let (mut count, mut rest) = (0, &body[..]);
+    while let [code, tail @ ..] = rest {
+        let overrun = PlatformError::ParameterOverrun { code: *code, at: size - rest.len() };
+        let [high, low, value @ ..] = tail else { return Err(overrun) };
+        let length = usize::from(u16::from_be_bytes([*high, *low]));
+        rest = value.get(length..).ok_or(overrun)?;
+        count += 1;
+    }
+    Ok(count)
+}
+
+/// Decodes the parameters that a front node evaluates, each at most [`COPIES_MAX`] times.
+fn evaluated_parameters(body: Bytes) -> Vec<(u8, Bytes)> {
+    let mut kept: Vec<(u8, Bytes)> = Vec::new();
+    for (code, value) in Parameters(body).filter(|(code, _)| ParameterCode::ALL.contains(code)) {
+        if kept.iter().filter(|(other, _)| *other == code).count() < COPIES_MAX {
+            // Copied: it would otherwise keep the whole message alive.
+            kept.push((code, Bytes::copy_from_slice(&value)));
+        }
+    }
+    kept
+}
+
+/// The parameters in the rest of a message, whose lengths have been checked.
+struct Parameters(Bytes);
+
+impl Iterator for Parameters {
+    type Item = (u8, Bytes);
+
+    fn next(&mut self) -> Option<Self::Item> {
+        if self.0.len() < 3 {
+            return None;
         }
-        Ok(Self { kind, call: CallId(id), parameters })
+        let code = self.0.get_u8();
+        let length = usize::from(self.0.get_u16()).min(self.0.len());
+        Some((code, self.0.split_to(length)))
     }
 }
 
--- a/crates/platform/src/setup.rs
+++ b/crates/platform/src/setup.rs
@@ -6,6 +6,10 @@
 
 use crate::{Message, MessageType, ParameterCode, PlatformError};
 
+/// Maximum length of the attributes in bytes, many times that of all known ones. Guards against the time that
+/// thousands of short ones take.
+const ATTRIBUTES_MAX: usize = 1_024;
+
 /// Parameters of a set-up, validated for format and range only.
 ///
 /// Whether the class and the tenant are configured is not checked here.
@@ -76,6 +80,12 @@
             setup.number.1 = u64::from_str_radix(text, 16).ok().filter(|_| digits).ok_or(invalid)?;
         }
         if let Some(text) = message.text(ParameterCode::ATTRIBUTES)? {
+            if text.len() > ATTRIBUTES_MAX {
+                return Err(PlatformError::InvalidValue {
+                    code: ParameterCode::ATTRIBUTES,
+                    what: "too long",
+                });
+            }
             text.split(';')
                 .filter(|part| !part.is_empty())
                 .try_for_each(|part| setup.apply_attribute(part))?;
@@ -113,12 +123,13 @@
     }
 }
 
-/// Whether a message is a set-up of a new call, that is, of one not yet established at a server.
+/// Whether a message is a set-up of a new call, that is, of one not yet established at a server. Attributes that are
+/// too long are not searched: such a set-up is invalid.
 pub fn is_offer(message: &Message) -> bool {
     let names_server = |part: &str| {
         part.split_once(':').is_some_and(|(name, at)| name.trim() == "at" && !at.trim().is_empty())
     };
-    let is_established = |text: &str| text.split(';').any(names_server);
+    let is_established = |text: &str| text.len() <= ATTRIBUTES_MAX && text.split(';').any(names_server);
     message.kind == MessageType::SetUp
         && !message.text(ParameterCode::ATTRIBUTES).ok().flatten().is_some_and(is_established)
 }
--- a/crates/platform/tests/messages.rs
+++ b/crates/platform/tests/messages.rs
@@ -122,3 +122,36 @@
     let twice = message.with(ParameterCode::CAUSE, vec![1]).with(ParameterCode::CAUSE, vec![1]);
     assert_eq!(twice.cause(), Err(PlatformError::DuplicateParameter(ParameterCode::CAUSE)));
 }
+
+/// Guards against messages that take many times their size in memory: thousands of parameters without a value.
+#[test]
+fn many_short_parameters_take_no_more_memory_than_the_message() {
+    let mut message = Message::new(MessageType::SetUp, CallId::default()).with(ParameterCode::CLASS, "load");
+    for _ in 0..2_000 {
+        message = message.with(7, "").with(ParameterCode::NOTE, "");
+    }
+    let bytes = message.with(ParameterCode::DESCRIPTION, "v=0").to_bytes().expect("short enough");
+    let mut frames = MessageDecoder::default();
+    frames.push(&bytes);
+    let decoded = frames.next_message().expect("valid").expect("whole");
+    assert!(decoded.memory_size() < 300, "{} bytes", decoded.memory_size());
+    assert_eq!(decoded.text(ParameterCode::CLASS), Ok(Some("load")));
+    assert_eq!(decoded.text(ParameterCode::DESCRIPTION), Ok(Some("v=0")));
+    assert!(decoded.optional(ParameterCode::NOTE).is_err(), "it still occurs more than once");
+}
+
+/// The limit on parameters does not hide one that is longer than its message.
+#[test]
+fn overrun_behind_many_parameters_is_rejected() {
+    let mut message = Message::new(MessageType::SetUp, CallId::default());
+    for _ in 0..100 {
+        message = message.with(7, "");
+    }
+    let mut bytes = message.with(7, "x").to_bytes().expect("short enough");
+    let length = bytes.len() - 2;
+    bytes[length] = 2;
+    let mut frames = MessageDecoder::default();
+    frames.push(&bytes);
+    let at = 9 + 100 * 3;
+    assert_eq!(frames.next_message(), Err(PlatformError::ParameterOverrun { code: 7, at }));
+}
