--- a/crates/call/src/active.rs
+++ b/crates/call/src/active.rs
@@ -38,6 +38,8 @@
     pub(crate) blocked: u8,
     /// `None` once the call is answered.
     pub(crate) payload: Option<P>,
+    /// Taken over from another process.
+    pub(crate) adopted: bool,
     /// Since when the owner has no link.
     pub(crate) client_absent_since: Option<Micros>,
     /// A call not yet passed to the policy, and since when it is deferred.
@@ -58,6 +60,7 @@
             unconfirmed_end_at: None,
             blocked: 0,
             payload: None,
+            adopted: false,
             client_absent_since: None,
             deferred: None,
         }
--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -57,8 +57,10 @@
 /// Bounds and timeouts of the engine.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Limits {
-    /// Concurrent calls, in set-up or established; more are refused.
+    /// Concurrent calls, in set-up or established; more are refused. Adopted calls are not counted.
     pub calls: usize,
+    /// Concurrent adopted calls; more are reported as ended.
+    pub adopted_calls: usize,
     /// Concurrent calls in set-up from one link; more are refused.
     pub in_set_up_per_link: usize,
     /// Final answers cached for repeated requests.
@@ -84,6 +86,7 @@
     fn default() -> Self {
         Self {
             calls: 200_000,
+            adopted_calls: 200_000,
             in_set_up_per_link: 5_000,
             cached_answers: 100_000,
             cached_answer_ttl: 60_000_000,
@@ -156,6 +159,8 @@
     /// Membership of the fleet, if enabled.
     membership: Option<Membership>,
     calls: BTreeMap<CallId, ActiveCall<P>>,
+    /// Number of adopted calls in `calls`.
+    adopted: usize,
     sessions: BTreeMap<Session, CallId>,
     attempts: BTreeMap<AttemptId, Attempt>,
     by_server: BTreeMap<ServerId, BTreeSet<AttemptId>>,
@@ -214,6 +219,7 @@
             budgets: None,
             membership: None,
             calls: BTreeMap::new(),
+            adopted: 0,
             sessions: BTreeMap::new(),
             attempts: BTreeMap::new(),
             by_server: BTreeMap::new(),
@@ -548,7 +554,8 @@
             budgets.offered(self.now);
         }
         let on_link = self.in_set_up.get(&request.link).copied().unwrap_or(0);
-        let full = self.calls.len() >= self.limits.calls || on_link >= self.limits.in_set_up_per_link;
+        let full =
+            self.calls.len() - self.adopted >= self.limits.calls || on_link >= self.limits.in_set_up_per_link;
         if full || self.stopping {
             let why = if self.stopping { Refusal::Stopping } else { Refusal::LimitReached };
             self.counts.bound += u64::from(full);
@@ -765,6 +772,7 @@
     /// Removes a call and caches its answer.
     fn forget_call(&mut self, id: CallId, answer: Final) {
         let Some(active) = self.calls.remove(&id) else { return };
+        self.adopted -= usize::from(active.adopted);
         self.timers.cancel(id);
         self.sessions.remove(&active.session);
         if let Some(ids) = self.by_owner.get_mut(&active.session.owner) {
@@ -957,7 +965,7 @@
         if self.sessions.contains_key(&session) {
             return;
         }
-        if self.calls.len() >= self.limits.calls {
+        if self.adopted >= self.limits.adopted_calls {
             self.counts.bound += 1;
             return out.push(Output::Cleared { session, outcome: Outcome::Reset });
         }
@@ -965,7 +973,9 @@
         let stage = Stage::Established;
         let attempt =
             self.add_attempt(Attempt { call, index: 0, server, class, sent_at: now, stage, adopted: true });
-        self.insert_call(call, ActiveCall::new(session.clone(), class, Phase::Established(attempt), now));
+        let active = ActiveCall::new(session.clone(), class, Phase::Established(attempt), now);
+        self.insert_call(call, ActiveCall { adopted: true, ..active });
+        self.adopted += 1;
         out.push(Output::Adopted { attempt, server, session });
     }
 
--- a/crates/node/src/state/callers.rs
+++ b/crates/node/src/state/callers.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::net::IpAddr;
 
-use baydrift::interface::{Micros, Outcome};
+use baydrift::interface::{Micros, Outcome, ServerId};
 use baydrift_call::{CallStatus, Input as EngineInput, LinkId, Offer, Request, Retransmission};
 use baydrift_platform::server_list::server_id;
 use baydrift_platform::setup::SetUp;
@@ -24,6 +24,8 @@
 /// Maximum memory of unanswered set-ups, in bytes. Guards against thousands with descriptions of maximum
 /// length, which would exhaust a small machine's memory; a usual set-up has a few hundred bytes.
 const SET_UP_BYTES_MAX: usize = 6 << 20;
+/// Maximum number of established calls that one connection has announced.
+const ANNOUNCED_PER_LINK_MAX: usize = 1_000;
 /// Maximum number of call ends that wait for a connection of their caller.
 pub(super) const UNDELIVERED_ENDS_MAX: usize = 1_000;
 /// How long a call end waits for a connection of its caller, which must be notified within 8 s.
@@ -38,6 +40,8 @@
     in_set_up: BTreeSet<CallId>,
     /// Number of established calls that were set up or announced on this connection.
     established: usize,
+    /// Number of those that were announced.
+    announced: usize,
     /// It has brought a useful message.
     useful: bool,
     invalid_set_ups: u32,
@@ -76,6 +80,7 @@
             opened_at: self.now,
             in_set_up: BTreeSet::new(),
             established: 0,
+            announced: 0,
             useful: false,
             invalid_set_ups: 0,
             partial: false,
@@ -132,17 +137,7 @@
         let tenant = tenant.ok_or(invalid(ParameterCode::TENANT, "unknown tenant"))?;
         let session = self.session(call);
         if let Some(at) = &setup.current_server {
-            let known = self.engine.call_status(&session);
-            if known == Some(CallStatus::Established) || known.is_none() {
-                self.bind_established(link, call);
-            }
-            let server = server_id(at);
-            let ended = self.servers.take_unclaimed_end(self.now, server, call);
-            match (known, ended) {
-                (None, Some(outcome)) => self.call_ended(call, outcome, out),
-                (None, None) => self.apply_to_engine(EngineInput::Adopted { session, class, server }, out),
-                _ => {}
-            }
+            self.handle_announcement(link, call, class, server_id(at), out);
             return Ok(());
         }
         if setup.width < 1.0 || self.site.circuits_by_class.get(class).is_some_and(|most| setup.width > *most)
@@ -166,7 +161,7 @@
         let ip = self.links.get(&link).map(|link| link.ip);
         let bytes = message.memory_size();
         self.set_up_bytes += bytes;
-        self.calls.insert(call, Caller { link, ip, established: false, bytes });
+        self.calls.insert(call, Caller { link, ip, established: false, announced: false, bytes });
         if self.set_up_bytes > SET_UP_BYTES_MAX {
             self.send_refusal(call, true, out);
             return Ok(());
@@ -205,14 +200,47 @@
         }
     }
 
-    /// Handles a caller's announcement of an established call: its end is
-    /// sent on this connection from now on.
+    /// Handles a caller's announcement of a call that is established at a server. Beyond the limits it is over for
+    /// its caller, so that calls which no server knows leave room for others.
+    fn handle_announcement(
+        &mut self,
+        link: LinkId,
+        call: CallId,
+        class: usize,
+        server: ServerId,
+        out: &mut Vec<Output>,
+    ) {
+        let session = self.session(call);
+        let known = self.engine.call_status(&session);
+        if known.is_none() && !self.accepts_announcement(link, server) {
+            return write(out, link, &Message::release(call, Cause::TEMPORARY));
+        }
+        if known == Some(CallStatus::Established) || known.is_none() {
+            self.bind_established(link, call);
+        }
+        let ended = self.servers.take_unclaimed_end(self.now, server, call);
+        match (known, ended) {
+            (None, Some(outcome)) => self.call_ended(call, outcome, out),
+            (None, None) => self.apply_to_engine(EngineInput::Adopted { session, class, server }, out),
+            _ => {}
+        }
+    }
+
+    /// Whether another call at this server may be announced on this connection.
+    fn accepts_announcement(&self, link: LinkId, server: ServerId) -> bool {
+        let on_link = self.links.get(&link).map_or(0, |link| link.announced);
+        on_link < ANNOUNCED_PER_LINK_MAX && self.servers.has_room_for(server)
+    }
+
+    /// Binds an established call to the connection that announced it: its end is sent there from now on.
     fn bind_established(&mut self, link: LinkId, call: CallId) {
         self.forget_call(call);
         let Some(own) = self.links.get_mut(&link) else { return };
         own.useful = true;
         own.established += 1;
-        self.calls.insert(call, Caller { link, ip: Some(own.ip), established: true, bytes: 0 });
+        own.announced += 1;
+        let caller = Caller { link, ip: Some(own.ip), established: true, announced: true, bytes: 0 };
+        self.calls.insert(call, caller);
     }
 
     /// Handles a caller's release, which ends an established call, or cancels a set-up if it comes on the
@@ -315,6 +343,7 @@
         if let Some(link) = self.links.get_mut(&caller.link) {
             link.in_set_up.remove(&call);
             link.established -= usize::from(caller.established && link.established > 0);
+            link.announced -= usize::from(caller.announced && link.announced > 0);
         }
         Some(caller)
     }
--- a/crates/node/src/state/mod.rs
+++ b/crates/node/src/state/mod.rs
@@ -52,6 +52,9 @@
 /// Maximum number of calls held at once, in set-up or established, whatever
 /// the settings allow: a few megabytes.
 const CALLS_MAX: u32 = 6_000;
+/// Maximum number of established calls that callers have announced. Separate from [`CALLS_MAX`]: callers may announce
+/// calls that no server knows, which must not use up the room for new calls.
+const ANNOUNCED_CALLS_MAX: usize = 3_000;
 /// Maximum number of calls in set-up on one caller's connection.
 const SET_UPS_PER_LINK_MAX: usize = 1_000;
 
@@ -136,6 +139,8 @@
     link: LinkId,
     ip: Option<IpAddr>,
     established: bool,
+    /// The call was announced as established.
+    announced: bool,
     /// Memory held by its set-up until it is answered.
     bytes: usize,
 }
@@ -228,6 +233,7 @@
         let max_open = if config.site.max_open == 0 { CALLS_MAX } else { config.site.max_open };
         let limits = Limits {
             calls: max_open.min(CALLS_MAX) as usize,
+            adopted_calls: ANNOUNCED_CALLS_MAX,
             in_set_up_per_link: SET_UPS_PER_LINK_MAX,
             cached_answers: ANSWER_CACHE_MAX,
             cached_answer_ttl: ANSWER_CACHE_TTL,
--- a/crates/node/src/state/servers/mod.rs
+++ b/crates/node/src/state/servers/mod.rs
@@ -56,6 +56,10 @@
 /// Maximum number of releases that wait for a connection to one server.
 const PENDING_RELEASES_MAX: usize = 1_000;
 
+/// Maximum number of servers that are known only by calls announced there. Such a server may come onto the list
+/// soon; callers may name any number of others.
+const UNLISTED_SERVERS_MAX: usize = 64;
+
 /// Identifies a connection to a signalling server; never reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ConnId(pub u64);
@@ -325,6 +329,12 @@
         self.by_id.entry(server).or_insert_with(new_server).established.insert(call, attempt);
     }
 
+    /// Whether calls may be announced at a server: at one that is known, or at a limited number of others.
+    pub(super) fn has_room_for(&self, server: ServerId) -> bool {
+        let without_address = || self.by_id.values().filter(|server| server.address.is_none()).count();
+        self.by_id.contains_key(&server) || without_address() < UNLISTED_SERVERS_MAX
+    }
+
     /// Takes the outcome of a call that ended before its caller announced it.
     pub(super) fn take_unclaimed_end(
         &mut self,
@@ -376,9 +386,10 @@
         up && !server.waiting.is_empty() && server.conns.len() < 2 * CONNS_PER_SERVER_MAX
     }
 
-    /// Number of connections that each server may have of the total.
+    /// Number of connections that each server with an address may have of the total.
     fn conns_share(&self) -> usize {
-        self.conn_limits.total / self.by_id.len().max(1)
+        let servers = self.by_id.values().filter(|server| server.address.is_some()).count();
+        self.conn_limits.total / servers.max(1)
     }
 
     fn pool_limit(&self, server: &Server) -> PoolLimit {
--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -296,3 +296,40 @@
     harness.caller_sends(1, long(1_000));
     assert_eq!((harness.set_up_count(1_000), harness.sent_to_caller(1_000).len()), (1, 0));
 }
+
+/// A set-up for a call that is established at this server.
+fn announcement(id: u64, server: &str) -> Message {
+    let mut message = set_up(id, "3000");
+    message.parameters.retain(|(code, _)| *code != ParameterCode::ATTRIBUTES);
+    message.with(ParameterCode::ATTRIBUTES, format!("dest:0;width:1;via:-1;at:{server}"))
+}
+
+/// Guards against other callers' calls that are refused, and time spent on servers that do not exist, while a client
+/// announces calls at servers under ever new names, or unknown calls at a known one.
+#[test]
+fn announcements_of_unknown_calls_leave_room_for_others() {
+    for server in [None, Some("s-two")] {
+        let mut harness = Harness::connected();
+        harness.caller(2);
+        for id in 10_000..18_000 {
+            let name = server.map_or(format!("s-{id:x}"), str::to_owned);
+            harness.caller_sends(2, announcement(id, &name));
+        }
+        let established = harness.node.resource_counts()[3];
+        assert!(established <= 1_000, "{established} taken for calls");
+        let refused = harness.sent_to_caller(17_999);
+        assert_eq!(refused, [(2, MessageType::Release, Some(Cause::TEMPORARY))], "over for its caller");
+        let conns = harness.node.resource_counts()[1];
+        for id in 1..=20 {
+            harness.caller_sends(1, announcement(100 + id, "s-one"));
+            assert!(
+                harness.sent_to_caller(100 + id).is_empty(),
+                "an announcement by another caller is taken"
+            );
+            harness.establish(id);
+        }
+        harness.connect_all();
+        harness.advance_with_ping_replies(5 * SECOND);
+        assert!(harness.node.resource_counts()[1] >= conns, "connections to the servers are kept");
+    }
+}
