--- a/crates/node/src/transport/connection.rs
+++ b/crates/node/src/transport/connection.rs
@@ -15,10 +15,10 @@
 use socket2::SockRef;
 use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, Notify, OwnedSemaphorePermit};
+use tokio::sync::{Notify, OwnedSemaphorePermit};
 use tokio::time::Instant;
 
-use super::Arrival;
+use super::input::InputSender;
 use crate::state::{ConnId, Input};
 
 /// Identifies a connection, and builds the inputs that its reader sends to the core.
@@ -205,16 +205,16 @@
 
     /// Reads until the connection ends or is closed, reports that to the core, and drops the socket. A full
     /// queue to the core applies backpressure to the peer.
-    pub(super) async fn read<K: ConnKey>(self: Rc<Self>, key: K, core: mpsc::Sender<Arrival>) {
+    pub(super) async fn read<K: ConnKey>(self: Rc<Self>, key: K, core: InputSender) {
         let end = self.read_all(key, &core).await;
         self.closed.set(true);
-        let _ = core.send(key.closed().into()).await;
+        let _ = core.send(key.closed()).await;
         if end == End::Local {
             self.close_gracefully().await;
         }
     }
 
-    async fn read_all<K: ConnKey>(&self, key: K, core: &mpsc::Sender<Arrival>) -> End {
+    async fn read_all<K: ConnKey>(&self, key: K, core: &InputSender) -> End {
         let mut frames = MessageDecoder::default();
         while !self.closed.get() {
             let ready = tokio::select! {
@@ -235,7 +235,7 @@
                 match frames.next_message() {
                     Ok(Some(message)) if peer_closed && key.is_obsolete(&message) => {}
                     Ok(Some(message)) => {
-                        if core.send(key.message(message).into()).await.is_err() || self.closed.get() {
+                        if core.send(key.message(message)).await.is_err() || self.closed.get() {
                             return End::Local;
                         }
                     }
@@ -246,7 +246,7 @@
                     }
                 }
             }
-            if frames.has_partial_message() && core.send(key.partial().into()).await.is_err() {
+            if frames.has_partial_message() && core.send(key.partial()).await.is_err() {
                 return End::Local;
             }
         }
--- a/crates/node/src/transport/connection/tests.rs
+++ b/crates/node/src/transport/connection/tests.rs
@@ -8,6 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
+use super::super::input::input_queue;
 use super::*;
 
 /// Time-out of each test.
@@ -74,7 +75,7 @@
     run(|| async {
         let (conn, mut peer) = connected().await;
         // The core's queue holds one message: the others stay in the socket and in the reader.
-        let (core, _inputs) = mpsc::channel(1);
+        let (core, _inputs) = input_queue(1);
         let reader = tokio::task::spawn_local(conn.clone().read(LinkId(1), core));
         peer.write_all(&bytes((0..2_000).map(set_up))).await.expect("sent");
         // Partly more than the socket accepts at once.
@@ -99,7 +100,7 @@
 fn invalid_input_closes_gracefully() {
     run(|| async {
         let (conn, mut peer) = connected().await;
-        let (core, mut inputs) = mpsc::channel(100);
+        let (core, mut inputs) = input_queue(100);
         let reader = tokio::task::spawn_local(conn.clone().read(LinkId(1), core));
         let answers = vec![7; UNSENT_MAX];
         answers.chunks(10_000).for_each(|part| conn.write(part));
@@ -120,7 +121,7 @@
     run(|| async {
         for (recent, sends) in [(true, false), (true, true), (false, false), (false, true)] {
             let (conn, mut peer) = connected().await;
-            let (core, _inputs) = mpsc::channel(1);
+            let (core, _inputs) = input_queue(1);
             let reader = tokio::task::spawn_local(conn.clone().read(LinkId(1), core));
             if recent {
                 conn.write(b"an answer");
@@ -150,7 +151,7 @@
 fn peer_close_makes_unread_set_ups_obsolete() {
     run(|| async {
         let (conn, mut peer) = connected().await;
-        let (core, mut inputs) = mpsc::channel(1);
+        let (core, mut inputs) = input_queue(1);
         let reader = tokio::task::spawn_local(conn.clone().read(LinkId(1), core));
         let release = Message::release(CallId([7; 8]), Cause::NORMAL);
         // Fits into the socket's buffer before anything is read, so that the close has arrived as well.
--- a/crates/node/src/transport/mod.rs
+++ b/crates/node/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! Runs the front node on sockets: a single-threaded tokio transport around [`crate::state::Node`].
 
 mod connection;
+mod input;
 mod tasks;
 
 use std::collections::BTreeMap;
@@ -17,12 +18,13 @@
 use tokio_util::task::TaskTracker;
 
 use self::connection::{ConnKey, Connection};
+use self::input::{input_queue, Arrival, InputSender};
 use self::tasks::{Peers, Resolver};
 use crate::config::{Config, ConfigError};
 use crate::state::{sort_batch, ConnId, Input, Node, Output};
 
 /// Capacity of the queue of inputs to the core; readers wait when it is full.
-const INPUT_QUEUE: usize = 512;
+const QUEUE_INPUTS: usize = 512;
 /// Maximum number of inputs that are sorted together: more than one caller may have in set-up, so that its
 /// disconnect is seen behind them.
 const BATCH_INPUTS_MAX: usize = 2_048;
@@ -71,38 +73,6 @@
     System(&'static str, std::io::Error),
 }
 
-/// An input from a task to the core; with the connection, if it announces a new one.
-struct Arrival {
-    input: Input,
-    conn: Option<Rc<Connection>>,
-    /// When it was received.
-    at: Instant,
-}
-
-impl Arrival {
-    fn new(input: Input, conn: Option<Rc<Connection>>) -> Self {
-        Self { input, conn, at: Instant::now() }
-    }
-}
-
-impl From<Input> for Arrival {
-    fn from(input: Input) -> Self {
-        Self::new(input, None)
-    }
-}
-
-impl AsRef<Input> for Arrival {
-    fn as_ref(&self) -> &Input {
-        &self.input
-    }
-}
-
-impl AsMut<Input> for Arrival {
-    fn as_mut(&mut self) -> &mut Input {
-        &mut self.input
-    }
-}
-
 /// Monotonic clock that starts at the Unix time.
 #[derive(Clone, Copy)]
 struct Clock {
@@ -131,7 +101,7 @@
 struct Core {
     node: Node,
     clock: Clock,
-    to_core: mpsc::Sender<Arrival>,
+    to_core: InputSender,
     inputs: mpsc::Receiver<Arrival>,
     /// Inputs that were read and not processed yet, in processing order.
     batch: Vec<Arrival>,
@@ -165,7 +135,7 @@
     let config = Config::load(&path)?;
     let system = |what| move |e| StartError::System(what, e);
     let node = Node::new(&config)?;
-    let (to_core, mut inputs) = mpsc::channel(INPUT_QUEUE);
+    let (to_core, mut inputs) = input_queue(QUEUE_INPUTS);
     tasks::signals(&to_core).map_err(system("signals"))?;
     let Some(listener) = tasks::bind(config.listen, &mut inputs).await? else { return Ok(()) };
     let at = listener.local_addr().map_err(|e| StartError::Listen(config.listen, e))?;
--- a/crates/node/src/transport/tasks.rs
+++ b/crates/node/src/transport/tasks.rs
@@ -22,7 +22,8 @@
 use tokio::time::Instant;
 
 use super::connection::Connection;
-use super::{Arrival, StartError, CALLER_WRITE_TIMEOUT, SERVER_WRITE_TIMEOUT};
+use super::input::{Arrival, InputSender};
+use super::{StartError, CALLER_WRITE_TIMEOUT, SERVER_WRITE_TIMEOUT};
 use crate::state::{ConnId, Input};
 
 /// Pause after a failed accept, for want of a descriptor, or a failed receive.
@@ -38,7 +39,7 @@
 const RESOLVER_PORTS_MAX: usize = 9;
 
 /// SIGHUP reloads, SIGTERM and SIGINT stop.
-pub(super) fn signals(core: &mpsc::Sender<Arrival>) -> io::Result<()> {
+pub(super) fn signals(core: &InputSender) -> io::Result<()> {
     let kinds = [SignalKind::hangup(), SignalKind::terminate(), SignalKind::interrupt()];
     for kind in kinds {
         let (mut signals, core) = (signal(kind)?, core.clone());
@@ -46,7 +47,7 @@
             while signals.recv().await.is_some() {
                 let stop = kind != SignalKind::hangup();
                 let input = if stop { Input::Stop } else { Input::NameServerChanged };
-                if core.send(input.into()).await.is_err() {
+                if core.send(input).await.is_err() {
                     return;
                 }
             }
@@ -82,7 +83,7 @@
 /// up the descriptors for servers and discovery.
 pub(super) async fn listen(
     listener: TcpListener,
-    core: mpsc::Sender<Arrival>,
+    core: InputSender,
     slots: Arc<Semaphore>,
     stop_accepting: Rc<Notify>,
 ) {
@@ -126,7 +127,7 @@
 }
 
 /// Connects to a signalling server.
-pub(super) async fn dial(conn: ConnId, to: SocketAddr, within: Duration, core: mpsc::Sender<Arrival>) {
+pub(super) async fn dial(conn: ConnId, to: SocketAddr, within: Duration, core: InputSender) {
     let arrival = match tokio::time::timeout(within, TcpStream::connect(to)).await {
         Ok(Ok(stream)) => {
             Arrival::new(Input::ServerUp(conn), Some(Connection::new(stream, SERVER_WRITE_TIMEOUT, None)))
@@ -142,13 +143,13 @@
     /// The socket of the present port, which sends the queries.
     socket: Rc<UdpSocket>,
     at: Rc<Cell<SocketAddr>>,
-    core: mpsc::Sender<Arrival>,
+    core: InputSender,
     /// The readers of all ports, oldest first; each owns its socket.
     readers: VecDeque<JoinHandle<()>>,
 }
 
 impl Resolver {
-    pub(super) fn new(at: SocketAddr, core: &mpsc::Sender<Arrival>) -> io::Result<Self> {
+    pub(super) fn new(at: SocketAddr, core: &InputSender) -> io::Result<Self> {
         let (socket, at) = (Rc::new(Self::socket(at)?), Rc::new(Cell::new(at)));
         let mut resolver = Self { socket, at, core: core.clone(), readers: VecDeque::new() };
         resolver.spawn_reader();
@@ -196,12 +197,12 @@
 }
 
 /// Passes datagrams from the name server's present address to the core and drops all others.
-async fn read_answers(socket: Rc<UdpSocket>, at: Rc<Cell<SocketAddr>>, core: mpsc::Sender<Arrival>) {
+async fn read_answers(socket: Rc<UdpSocket>, at: Rc<Cell<SocketAddr>>, core: InputSender) {
     let mut buffer = vec![0; ANSWER_MAX + 1];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((size, from)) if from == at.get() => {
-                if core.send(Input::DiscoveryAnswer(buffer[..size].to_vec()).into()).await.is_err() {
+                if core.send(Input::DiscoveryAnswer(buffer[..size].to_vec())).await.is_err() {
                     return;
                 }
             }
@@ -224,7 +225,7 @@
     pub(super) async fn start(
         at: SocketAddr,
         all: Rc<[SocketAddr]>,
-        core: &mpsc::Sender<Arrival>,
+        core: &InputSender,
     ) -> Result<Rc<Self>, StartError> {
         let peers = Rc::new(Self { socket: OnceCell::new(), all });
         peers.bind(at).await?;
@@ -250,7 +251,7 @@
     }
 
     /// Passes datagrams from the other front nodes' addresses to the core.
-    async fn read(&self, at: SocketAddr, core: mpsc::Sender<Arrival>) {
+    async fn read(&self, at: SocketAddr, core: InputSender) {
         let socket = loop {
             if let Some(socket) = self.socket.get() {
                 break socket;
@@ -266,7 +267,7 @@
                 Ok((size, from)) if size <= MESSAGE_MAX => {
                     let Some(number) = self.all.iter().position(|at| *at == from) else { continue };
                     let input = Input::Peer(number as u32, buffer[..size].to_vec());
-                    if core.send(input.into()).await.is_err() {
+                    if core.send(input).await.is_err() {
                         return;
                     }
                 }
--- a/crates/node/src/transport/tasks/tests.rs
+++ b/crates/node/src/transport/tasks/tests.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 use std::net::TcpStream as StdStream;
 
+use super::super::input::input_queue;
 use super::*;
 
 /// Time-out of each test.
@@ -33,7 +34,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let addr = listener.local_addr().expect("its address");
         let _callers = connected(&listener, 100);
-        let (core, mut inputs) = mpsc::channel(1_000);
+        let (core, mut inputs) = input_queue(1_000);
         let stop_accepting = Rc::new(Notify::new());
         // Notified before the listener has accepted anything.
         stop_accepting.notify_one();
@@ -54,7 +55,7 @@
     run(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let _callers = connected(&listener, 50);
-        let (core, mut inputs) = mpsc::channel(1_000);
+        let (core, mut inputs) = input_queue(1_000);
         let slots = Arc::new(Semaphore::new(7));
         spawn_local(listen(listener, core, slots.clone(), Rc::new(Notify::new())));
         let mut taken = Vec::new();
@@ -71,7 +72,7 @@
 }
 
 /// A name server's socket, and a resolver that queries it.
-async fn resolver(core: &mpsc::Sender<Arrival>) -> (UdpSocket, Resolver) {
+async fn resolver(core: &InputSender) -> (UdpSocket, Resolver) {
     let server = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
     let resolver = Resolver::new(server.local_addr().expect("its address"), core).expect("a socket");
     (server, resolver)
@@ -101,7 +102,7 @@
 #[test]
 fn new_port_query_is_sent_from_another_port() {
     run(async {
-        let (core, mut inputs) = mpsc::channel(10);
+        let (core, mut inputs) = input_queue(10);
         let (server, mut resolver) = resolver(&core).await;
         let mut ports = Vec::new();
         for new_port in [false, false, true] {
@@ -125,7 +126,7 @@
 #[test]
 fn number_of_open_resolver_ports_is_bounded() {
     run(async {
-        let (core, mut inputs) = mpsc::channel(100);
+        let (core, mut inputs) = input_queue(100);
         let (server, mut resolver) = resolver(&core).await;
         let mut ports = Vec::new();
         for _ in 0..3 * RESOLVER_PORTS_MAX {
@@ -139,3 +140,23 @@
         assert_eq!(answers(&mut inputs, RESOLVER_PORTS_MAX).await, newest);
     });
 }
+
+/// Guards against memory that grows with the length of the messages that wait, since they were bounded in number alone.
+#[test]
+fn waiting_messages_are_bounded_in_memory() {
+    run(async {
+        let (core, mut inputs) = input_queue(1_000);
+        let large = || Input::DiscoveryAnswer(vec![0; 1 << 20]);
+        let sent = async {
+            for _ in 0..100 {
+                core.send(large()).await.expect("the core is there");
+            }
+        };
+        assert!(tokio::time::timeout(Duration::from_millis(50), sent).await.is_err(), "the sender waits");
+        let mut waiting: Vec<_> = std::iter::from_fn(|| inputs.try_recv().ok()).collect();
+        assert_eq!(waiting.len(), 3);
+        // One that is processed makes room for another.
+        waiting.pop();
+        core.send(large()).await.expect("the core is there");
+    });
+}
