--- a/crates/node/src/state/mod.rs
+++ b/crates/node/src/state/mod.rs
@@ -152,6 +152,8 @@
     call: CallId,
     /// The connection that its set-up was written on; `None` while it waits for one.
     conn: Option<ConnId>,
+    /// What that connection tells of the server's process; `None` before, and for a call that was announced.
+    origin: Option<servers::ConnOrigin>,
     established: bool,
     /// When its set-up was written, or the call was adopted.
     started_at: Micros,
@@ -383,7 +385,11 @@
     fn apply_list(&mut self, out: &mut Vec<Output>) {
         // The engine considers every link up: whether a server can be reached is reported by the end of each
         // attempt, as in the simulator. A broken connection does not mean that the server drains.
-        for server in self.servers.apply_list(self.now, &self.fleet) {
+        let (added, takeovers) = self.servers.apply_list(self.now, &self.fleet);
+        for takeover in takeovers {
+            self.apply_takeover(takeover);
+        }
+        for server in added {
             let state = baydrift_call::LinkState::Up(baydrift_call::Process::Same);
             self.apply_to_engine(EngineInput::ServerLink { server, state }, out);
         }
@@ -428,6 +434,7 @@
                             server,
                             call,
                             conn: None,
+                            origin: None,
                             established: true,
                             started_at: now,
                             pending: None,
--- a/crates/node/src/state/servers/attempts.rs
+++ b/crates/node/src/state/servers/attempts.rs
@@ -25,6 +25,7 @@
             server,
             call,
             conn: None,
+            origin: None,
             established: false,
             started_at: self.now,
             pending: Some(pending),
@@ -60,6 +61,7 @@
         tracing::trace!("{} at {:x}: set-up on {}", state.call, state.server, conn.0);
         self.attempt_counts.record_sent(state.server);
         if let Some(conn) = self.servers.conns.get_mut(&conn) {
+            state.origin = Some(conn.origin());
             conn.unanswered.insert(state.call, attempt);
         }
         out.push(Output::ToServer(conn, bytes));
--- a/crates/node/src/state/servers/connections.rs
+++ b/crates/node/src/state/servers/connections.rs
@@ -22,11 +22,14 @@
     pub(in crate::state) fn server_up(&mut self, id: ConnId, out: &mut Vec<Output>) {
         let now = self.now;
         let Some(conn) = self.servers.conns.get_mut(&id) else { return out.push(Output::CloseServer(id)) };
-        (conn.up, conn.received_at) = (true, now);
+        (conn.up, conn.up_at, conn.received_at) = (true, now, now);
         tracing::debug!("{:x}: connection {} up", conn.server, id.0);
         let owner = conn.server;
         let Some(server) = self.servers.by_id.get_mut(&owner) else { return };
-        (server.dial_failures, server.refuses, server.down_since) = (0, false, None);
+        (server.dial_failures, server.refuses) = (0, false);
+        if server.down_since.take().is_some() {
+            server.restored_at = Some(now);
+        }
         server.accepted_at = now;
         server.record_replacement(id);
         let (waiting, releases) =
--- a/crates/node/src/state/servers/mod.rs
+++ b/crates/node/src/state/servers/mod.rs
@@ -17,6 +17,9 @@
 mod connections;
 mod health;
 mod messages;
+mod takeover;
+
+pub(super) use takeover::{ConnOrigin, Takeover};
 
 use super::expiring::ExpiringQueue;
 use super::pool_limit::{PoolLimit, CONNS_PER_SERVER_MAX};
@@ -102,6 +105,8 @@
     /// The address that was dialled.
     address: SocketAddr,
     up: bool,
+    /// When it came up.
+    up_at: Micros,
     /// Unanswered set-ups.
     unanswered: BTreeMap<CallId, AttemptId>,
     /// Calls that finished on this connection.
@@ -134,6 +139,7 @@
             server,
             address,
             up: false,
+            up_at: now,
             unanswered: BTreeMap::new(),
             finished: ExpiringQueue::new((FINISHED_CALLS_MAX, FINISHED_CALLS_TTL)),
             unread_releases: ExpiringQueue::new((UNREAD_RELEASES_MAX, UNREAD_RELEASES_TTL)),
@@ -145,6 +151,10 @@
         }
     }
 
+    fn origin(&self) -> ConnOrigin {
+        ConnOrigin { address: self.address, up_at: self.up_at }
+    }
+
     /// Records that the server has read all that was written before a set-up, since it has replied to that.
     fn record_read(&mut self, set_up_at: Micros) {
         self.unread_releases.remove_before(set_up_at);
@@ -191,6 +201,10 @@
     dial_at: Micros,
     /// Start of the time without an established connection.
     down_since: Option<Micros>,
+    /// When the last of its connections was lost.
+    lost_at: Option<Micros>,
+    /// When a connection came up after a time without any.
+    restored_at: Option<Micros>,
     /// When a connection to it came up last.
     accepted_at: Micros,
     /// Time of the last message received from it.
@@ -266,9 +280,11 @@
         self.conns.len()
     }
 
-    /// Applies the server list and returns the servers that are new on it.
-    pub(super) fn apply_list(&mut self, now: Micros, fleet: &ServerList) -> Vec<ServerId> {
+    /// Applies the server list. Returns the servers that are new on it, and the addresses that have passed from
+    /// one server to another.
+    pub(super) fn apply_list(&mut self, now: Micros, fleet: &ServerList) -> (Vec<ServerId>, Vec<Takeover>) {
         let mut added = Vec::new();
+        let former_addresses = self.addresses();
         for server in self.by_id.values_mut() {
             server.listed = None;
         }
@@ -297,7 +313,8 @@
                 self.restarted.push((*id, Micros::MAX));
             }
         }
-        added
+        let takeovers = self.takeovers(now, &former_addresses);
+        (added, takeovers)
     }
 
     /// Takes the servers whose process has restarted according to the list,
@@ -466,6 +483,9 @@
             server.conns.remove(&id);
             if none_up {
                 server.down_since.get_or_insert(now);
+                if conn.up {
+                    server.lost_at = Some(now);
+                }
             }
         }
         Some(conn)
--- a/crates/node/tests/discovery.rs
+++ b/crates/node/tests/discovery.rs
@@ -141,6 +141,61 @@
     assert_eq!(harness.sent_to_caller(7).last(), Some(&(1, MessageType::Release, Some(Cause::TEMPORARY))));
 }
 
+/// Guards against calls of a new process that are ended at their callers and left standing at the process: it took
+/// the address of one that had died, and was taken for that one until the list told of it.
+#[test]
+fn calls_that_a_new_server_accepted_at_the_address_are_kept() {
+    // By the list, the new process has started at an unknown time, before it accepted a connection, or after.
+    for started_at in [None, Some(10 * MS), Some(250 * MS)] {
+        let mut harness = Harness::new(&config(&[server_one()]));
+        harness.connect_all();
+        harness.caller(1);
+        harness.establish(7);
+        harness.advance(SECOND / 2);
+        for conn in (1..=9).map(ConnId) {
+            harness.handle(Input::ServerDown(conn));
+        }
+        let died_at = harness.now;
+        harness.advance(100 * MS);
+        harness.connect_all();
+        harness.establish(8);
+        let conn = harness.establish(9);
+        harness.caller_sends(1, set_up(10, "3000"));
+        let in_flight = harness.set_up_conn(10).expect("a set-up");
+        let started_ms = started_at.map_or(0, |after| (died_at + after) / 1_000);
+        let new = Listed { name: "s-new".to_owned(), started_ms, ..server_one() };
+        harness.deliver_list(2, &[new]);
+        let over = (1, MessageType::Release, Some(Cause::TEMPORARY));
+        assert_eq!(harness.sent_to_caller(7).last(), Some(&over), "its process has died: {started_at:?}");
+        assert_eq!(harness.sent_to_caller(8).len(), 1, "it goes on: {started_at:?}");
+        // Its end, a release by its caller and an answer take the usual way.
+        harness.server_sends(conn, Message::release(call(8), Cause::NORMAL));
+        assert_eq!(harness.sent_to_caller(8).last(), Some(&(1, MessageType::Release, Some(Cause::NORMAL))));
+        harness.caller_sends(1, Message::release(call(9), Cause::NORMAL));
+        assert_eq!(harness.releases_sent(9), [conn]);
+        harness.server_sends(in_flight, common::answer(10));
+        assert_eq!(harness.sent_to_caller(10), [(1, MessageType::Answer, None)]);
+        assert_eq!(harness.set_up_count(10), 1);
+    }
+}
+
+/// Guards against the opposite: a machine has vanished, and its connections stay open and silent while another server
+/// takes its address.
+#[test]
+fn calls_of_a_vanished_server_end_when_another_takes_the_address() {
+    for known_start in [false, true] {
+        let mut harness = Harness::new(&config(&[server_one()]));
+        harness.connect_all();
+        harness.caller(1);
+        harness.establish(7);
+        harness.advance(SECOND / 2);
+        let started_ms = if known_start { harness.now / 1_000 } else { 0 };
+        harness.deliver_list(2, &[Listed { name: "s-new".to_owned(), started_ms, ..server_one() }]);
+        let over = (1, MessageType::Release, Some(Cause::TEMPORARY));
+        assert_eq!(harness.sent_to_caller(7).last(), Some(&over), "known start: {known_start}");
+    }
+}
+
 #[test]
 fn calls_at_a_removed_server_end_once_it_is_unreachable() {
     let mut harness = Harness::connected();
