--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -13,7 +13,7 @@
 use baydrift_fleet::Membership;
 
 use crate::active::{ActiveCall, Attempt, Phase, Stage, MAX_WAITING_REQUESTS};
-use crate::answer_cache::AnswerCache;
+use crate::answer_cache::{AnswerCache, CachedAnswer};
 use crate::budgets::SharedBudgets;
 use crate::detached::{DetachedAttempt, DetachedAttempts};
 use crate::guard::{Breach, CallProgress, Guard};
@@ -63,7 +63,7 @@
     pub adopted_calls: usize,
     /// Concurrent calls in set-up from one link; more are refused.
     pub in_set_up_per_link: usize,
-    /// Final answers cached for repeated requests.
+    /// Final answers cached for repeated requests: as many for calls of which a set-up was sent as for others.
     pub cached_answers: usize,
     /// How long a final answer stays cached.
     pub cached_answer_ttl: Micros,
@@ -167,7 +167,10 @@
     by_owner: BTreeMap<Arc<str>, BTreeSet<CallId>>,
     links: BTreeMap<LinkId, Arc<str>>,
     in_set_up: BTreeMap<LinkId, usize>,
+    /// Answers to calls of which a set-up was sent, or which another process established.
     answers: AnswerCache,
+    /// Answers to all other calls.
+    unsent_answers: AnswerCache,
     detached: DetachedAttempts,
     /// Earliest time of the next batch of releases, if one is pending.
     next_batch_at: Option<Micros>,
@@ -227,6 +230,7 @@
             links: BTreeMap::new(),
             in_set_up: BTreeMap::new(),
             answers: AnswerCache::new(limits.cached_answers, limits.cached_answer_ttl),
+            unsent_answers: AnswerCache::new(limits.cached_answers, limits.cached_answer_ttl),
             detached: DetachedAttempts::new(limits.detached_attempts),
             next_batch_at: None,
             timers: Timers::default(),
@@ -342,7 +346,7 @@
         match active.map(|active| active.phase) {
             Some(Phase::Established(_)) => Some(CallStatus::Established),
             Some(_) => Some(CallStatus::InSetUp),
-            None => self.answers.get(self.now, session).map(|_| CallStatus::Ended),
+            None => self.cached_answer(session).map(|_| CallStatus::Ended),
         }
     }
 
@@ -374,7 +378,7 @@
 
     /// Cached final answers.
     pub fn cached_answers(&self) -> usize {
-        self.answers.len()
+        self.answers.len() + self.unsent_answers.len()
     }
 
     /// Timers in the queue.
@@ -544,7 +548,7 @@
             *self.in_set_up.entry(request.link).or_default() += 1;
             return;
         }
-        if let Some(cached) = self.answers.get(self.now, session) {
+        if let Some(cached) = self.cached_answer(session) {
             self.counts.repeats += 1;
             let (request, session) = (*request, session.clone());
             return out.push(Output::Answer { request, session, answer: cached.answer });
@@ -589,7 +593,7 @@
     ) {
         let answer = Final::Refused { retry_after, why };
         self.counts.refused += 1;
-        self.counts.forgotten += self.answers.put(self.now, session.clone(), answer);
+        self.counts.forgotten += self.unsent_answers.put(self.now, session.clone(), answer);
         out.push(Output::Answer { request, session, answer });
     }
 
@@ -675,7 +679,7 @@
 
     fn released(&mut self, session: Session, request: Request, out: &mut Vec<Output<P>>) {
         let Some(id) = self.sessions.get(&session).copied() else {
-            let known = self.answers.get(self.now, &session).is_some();
+            let known = self.cached_answer(&session).is_some();
             let result = if known { ReleaseResult::Done } else { ReleaseResult::Unknown };
             return out.push(Output::AnswerRelease { request, session, result });
         };
@@ -781,7 +785,16 @@
                 self.by_owner.remove(&active.session.owner);
             }
         }
-        self.counts.forgotten += self.answers.put(self.now, active.session, answer);
+        // Kept apart. Guards against a second run of a call whose client left and comes again, while a flood of calls
+        // that are never sent would evict its answer.
+        let unsent = active.sent == 0 && !active.adopted;
+        let cache = if unsent { &mut self.unsent_answers } else { &mut self.answers };
+        self.counts.forgotten += cache.put(self.now, active.session, answer);
+    }
+
+    fn cached_answer(&mut self, session: &Session) -> Option<CachedAnswer> {
+        let now = self.now;
+        self.answers.get(now, session).or_else(|| self.unsent_answers.get(now, session))
     }
 
     // --- attempts ---
--- a/crates/call/tests/calls.rs
+++ b/crates/call/tests/calls.rs
@@ -42,6 +42,27 @@
     assert_eq!(harness.engine.pending_timers(), idle);
 }
 
+/// Guards against a call that runs twice: its client left and sends it again, after a flood of calls that were
+/// refused without a set-up has evicted other answers.
+#[test]
+fn refused_calls_do_not_evict_the_answers_of_sent_calls() {
+    let mut harness = Harness::new(Limits { cached_answers: 10, ..Limits::default() });
+    assert_eq!(set_ups(&harness.offer(1)), 1);
+    harness.input(Input::Released { session: session(1), request: request(1, 1) });
+    for server in [0, 1] {
+        harness.link(server, LinkState::Suspect);
+    }
+    for id in 2..100 {
+        let out = harness.offer(id);
+        assert_eq!((set_ups(&out), answers(&out).len()), (0, 1), "refused at once");
+    }
+    for server in [0, 1] {
+        harness.link(server, LinkState::Up(Process::Same));
+    }
+    assert_eq!(harness.engine.call_status(&session(1)), Some(CallStatus::Ended));
+    assert_eq!(set_ups(&harness.offer(1)), 0);
+}
+
 #[test]
 fn timed_out_attempt_is_released_and_retried_after_hold_off() {
     let mut harness = Harness::new(Limits::default());
