--- a/crates/node/src/state/mod.rs
+++ b/crates/node/src/state/mod.rs
@@ -235,7 +235,7 @@
         let max_open = if config.site.max_open == 0 { CALLS_MAX } else { config.site.max_open };
         let limits = Limits {
             calls: max_open.min(CALLS_MAX) as usize,
-            adopted_calls: ANNOUNCED_CALLS_MAX,
+            adopted_calls: (max_open as usize).min(ANNOUNCED_CALLS_MAX),
             in_set_up_per_link: SET_UPS_PER_LINK_MAX,
             cached_answers: ANSWER_CACHE_MAX,
             cached_answer_ttl: ANSWER_CACHE_TTL,
