--- a/crates/node/src/state/callers.rs
+++ b/crates/node/src/state/callers.rs
@@ -20,7 +20,7 @@
 const FIRST_USE_TIMEOUT: Micros = 2_000_000;
 /// Number of invalid set-ups after which a connection is closed, so that it
 /// does not go on sending at full speed.
-const UNUSABLE_SET_UPS_MAX: u32 = 4;
+const UNUSABLE_SET_UPS_MAX: usize = 4;
 /// Maximum memory of unanswered set-ups, in bytes. Guards against thousands with descriptions of maximum
 /// length, which would exhaust a small machine's memory; a usual set-up has a few hundred bytes.
 const SET_UP_BYTES_MAX: usize = 6 << 20;
@@ -44,7 +44,8 @@
     announced: usize,
     /// It has brought a useful message.
     useful: bool,
-    invalid_set_ups: u32,
+    /// Calls whose set-ups on this connection were refused as invalid.
+    invalid_set_ups: Vec<CallId>,
     /// The last data received was an incomplete message.
     partial: bool,
 }
@@ -82,7 +83,7 @@
             established: 0,
             announced: 0,
             useful: false,
-            invalid_set_ups: 0,
+            invalid_set_ups: Vec::new(),
             partial: false,
         };
         self.links.insert(link, new_link);
@@ -194,8 +195,8 @@
         self.counts.unusable += 1;
         write(out, link, &Message::release(call, Cause::INVALID));
         let Some(own) = self.links.get_mut(&link) else { return };
-        own.invalid_set_ups += 1;
-        if own.invalid_set_ups >= UNUSABLE_SET_UPS_MAX {
+        own.invalid_set_ups.push(call);
+        if own.invalid_set_ups.len() >= UNUSABLE_SET_UPS_MAX {
             self.close_caller(link, out);
         }
     }
@@ -243,11 +244,19 @@
         self.calls.insert(call, caller);
     }
 
-    /// Handles a caller's release, which ends an established call, or cancels a set-up if it comes on the
-    /// connection of that. Guards against a client that uses the id of another caller's set-up.
+    /// Whether a release on this connection is about the call of that id: an established one may be released on any
+    /// connection, but a set-up belongs to its own, and so does one that was refused. Guards against a client that
+    /// uses the id of another caller's call, and cancels its own.
+    fn may_release(&self, link: LinkId, call: CallId, caller: &Caller) -> bool {
+        let was_refused_here =
+            || self.links.get(&link).is_some_and(|link| link.invalid_set_ups.contains(&call));
+        caller.link == link || caller.established && !was_refused_here()
+    }
+
+    /// Handles a caller's release, which cancels a set-up or ends an established call.
     fn handle_caller_release(&mut self, link: LinkId, call: CallId, out: &mut Vec<Output>) {
         let Some(caller) = self.calls.get(&call).copied() else { return };
-        if !caller.established && caller.link != link {
+        if !self.may_release(link, call, &caller) {
             return tracing::debug!("{call}: release on link {} ignored, not its caller's", link.0);
         }
         tracing::trace!("{call}: released by its caller, established {}", caller.established);
--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -109,6 +109,14 @@
     assert!(harness.releases_sent(7).is_empty(), "the attempt goes on");
     harness.server_sends(conn, answer(7));
     assert_eq!(harness.sent_to_caller(7).last(), Some(&(1, MessageType::Answer, None)));
+    // Nor when it comes once the call is established: it is about the set-up that was refused.
+    harness.caller(3);
+    harness.caller_sends(1, set_up(9, "1500"));
+    let conn = harness.set_up_conn(9).expect("a set-up");
+    harness.caller_sends(3, set_up(9, "1500").with(ParameterCode::LOAD_REPORT, "x"));
+    harness.server_sends(conn, answer(9));
+    harness.caller_sends(3, Message::release(call(9), Cause::NORMAL));
+    assert!(harness.releases_sent(9).is_empty(), "the call goes on");
     // Its own caller may still cancel.
     harness.caller_sends(1, set_up(8, "1500"));
     harness.caller_sends(1, Message::release(call(8), Cause::NORMAL));
