--- a/crates/node/src/state/servers/takeover.rs
+++ b/crates/node/src/state/servers/takeover.rs
@@ -41,8 +41,9 @@
     /// Since when the connections to this server's address were accepted by the process that has it now, which
     /// started at `started_at` by the list; `None` if nothing shows that a connection is one of the new process.
     fn address_taken_since(&self, now: Micros, started_at: Option<Micros>) -> Option<Micros> {
-        let recently = |at: Micros| now < at.saturating_add(LOSS_RELEVANT_FOR);
-        let restored_at = self.restored_at.filter(|_| self.lost_at.is_some_and(recently));
+        let explains =
+            |lost: Micros, restored: Micros| lost <= restored && now < lost.saturating_add(LOSS_RELEVANT_FOR);
+        let restored_at = self.restored_at.filter(|at| self.lost_at.is_some_and(|lost| explains(lost, *at)));
         restored_at.into_iter().chain(started_at).min()
     }
 }
--- a/crates/node/tests/discovery.rs
+++ b/crates/node/tests/discovery.rs
@@ -179,6 +179,26 @@
     }
 }
 
+/// Guards against calls that stand for ever: their process has died, and the list tells of another one at the address
+/// before a connection to that has come up.
+#[test]
+fn calls_of_a_dead_server_end_when_the_list_comes_before_a_new_connection() {
+    for known_start in [false, true] {
+        let mut harness = Harness::new(&config(&[server_one()]));
+        harness.connect_all();
+        harness.caller(1);
+        harness.establish(7);
+        harness.advance(SECOND / 2);
+        for conn in (1..=9).map(ConnId) {
+            harness.handle(Input::ServerDown(conn));
+        }
+        let started_ms = if known_start { harness.now / 1_000 } else { 0 };
+        harness.deliver_list(2, &[Listed { name: "s-new".to_owned(), started_ms, ..server_one() }]);
+        let over = (1, MessageType::Release, Some(Cause::TEMPORARY));
+        assert_eq!(harness.sent_to_caller(7).last(), Some(&over), "known start: {known_start}");
+    }
+}
+
 /// Guards against the opposite: a machine has vanished, and its connections stay open and silent while another server
 /// takes its address.
 #[test]
