One place that resets set-ups, the longest deadline, and what makes a call adopted

Left by the fixes: the release, redial and end of unanswered set-ups stood in server_down and again for silent connections; the longest class deadline was computed in the policy and in the node; a flag said of a call what its phase and its count of set-ups say already. Each stands once now. Behaviour is unchanged.

--- a/crates/call/src/active.rs
+++ b/crates/call/src/active.rs
@@ -38,8 +38,6 @@
     pub(crate) blocked: u8,
     /// `None` once the call is answered.
     pub(crate) payload: Option<P>,
-    /// Taken over from another process.
-    pub(crate) adopted: bool,
     /// Since when the owner has no link.
     pub(crate) client_absent_since: Option<Micros>,
     /// A call not yet passed to the policy, and since when it is deferred.
@@ -60,13 +58,19 @@
             unconfirmed_end_at: None,
             blocked: 0,
             payload: None,
-            adopted: false,
             client_absent_since: None,
             deferred: None,
         }
     }
 }
 
+impl<P> ActiveCall<P> {
+    /// Whether it was taken over from another process: it is established, and no set-up was sent.
+    pub(crate) fn is_adopted(&self) -> bool {
+        self.sent == 0 && matches!(self.phase, Phase::Established(_))
+    }
+}
+
 /// State of an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Stage {
--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -776,7 +776,7 @@
     /// Removes a call and caches its answer.
     fn forget_call(&mut self, id: CallId, answer: Final) {
         let Some(active) = self.calls.remove(&id) else { return };
-        self.adopted -= usize::from(active.adopted);
+        self.adopted -= usize::from(active.is_adopted());
         self.timers.cancel(id);
         self.sessions.remove(&active.session);
         if let Some(ids) = self.by_owner.get_mut(&active.session.owner) {
@@ -787,7 +787,7 @@
         }
         // Kept apart. Guards against a second run of a call whose client left and comes again, while a flood of calls
         // that are never sent would evict its answer.
-        let unsent = active.sent == 0 && !active.adopted;
+        let unsent = active.sent == 0 && !active.is_adopted();
         let cache = if unsent { &mut self.unsent_answers } else { &mut self.answers };
         self.counts.forgotten += cache.put(self.now, active.session, answer);
     }
@@ -986,8 +986,7 @@
         let stage = Stage::Established;
         let attempt =
             self.add_attempt(Attempt { call, index: 0, server, class, sent_at: now, stage, adopted: true });
-        let active = ActiveCall::new(session.clone(), class, Phase::Established(attempt), now);
-        self.insert_call(call, ActiveCall { adopted: true, ..active });
+        self.insert_call(call, ActiveCall::new(session.clone(), class, Phase::Established(attempt), now));
         self.adopted += 1;
         out.push(Output::Adopted { attempt, server, session });
     }
--- a/crates/node/src/state/mod.rs
+++ b/crates/node/src/state/mod.rs
@@ -249,7 +249,7 @@
         Ok(Self {
             engine: Engine::new(config.settings.clone(), limits, config.seed)?,
             now: 0,
-            longest_wait: config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0),
+            longest_wait: config.settings.longest_deadline(),
             site: config.site.clone(),
             owner: Arc::from("callers"),
             fleet: config.known.clone(),
--- a/crates/node/src/state/servers/connections.rs
+++ b/crates/node/src/state/servers/connections.rs
@@ -1,10 +1,11 @@
 //! Connections to signalling servers: opened, failed, broken, and checked for timeouts.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Display;
 
 use baydrift::interface::{Micros, Outcome, ServerId, ServerState};
 use baydrift_call::{AttemptEnd, AttemptId};
+use baydrift_platform::CallId;
 
 use super::{Conn, ConnId, OwedRelease, RELEASE_READ_AFTER, RELEASE_WRITES_MAX};
 use crate::state::{Node, Output};
@@ -98,15 +99,26 @@
             self.servers.record_break(conn.server);
         }
         self.repeat_unread_releases(&mut conn);
+        self.reset_set_ups(conn.server, conn.unanswered, None, out);
+    }
+
+    /// Releases unanswered set-ups, on `silent` if their connection is still open, and ends their attempts as reset.
+    pub(super) fn reset_set_ups(
+        &mut self,
+        server: ServerId,
+        unanswered: BTreeMap<CallId, AttemptId>,
+        silent: Option<ConnId>,
+        out: &mut Vec<Output>,
+    ) {
         // Guards against a call that is established here while it is set up at another server.
-        for call in conn.unanswered.keys() {
-            self.send_release(conn.server, OwedRelease::new(*call), None, out);
-        }
-        // Dialled before the engine retries the unanswered set-ups, so that they find a connection; without a
-        // pause for a release, which must arrive before the call is set up elsewhere.
-        let at_once = self.servers.owes_release(conn.server);
-        self.servers.dial(self.now, conn.server, at_once, out);
-        for attempt in conn.unanswered.into_values() {
+        for call in unanswered.keys() {
+            self.send_release(server, OwedRelease::new(*call), silent, out);
+        }
+        // Dialled before the engine retries the set-ups, so that they find a connection; without a pause for a
+        // release, which must arrive before the call is set up elsewhere, and to probe a silent server.
+        let at_once = silent.is_some() || self.servers.owes_release(server);
+        self.servers.dial(self.now, server, at_once, out);
+        for attempt in unanswered.into_values() {
             self.end_attempt(attempt, AttemptEnd::plain(Outcome::Reset), out);
         }
     }
--- a/crates/node/src/state/servers/health.rs
+++ b/crates/node/src/state/servers/health.rs
@@ -5,11 +5,10 @@
 //! silent connection is kept while new connections to the server come up but stay silent as well. Its unanswered
 //! set-ups do not wait for it.
 
-use baydrift::interface::{Micros, Outcome, ServerId};
-use baydrift_call::AttemptEnd;
+use baydrift::interface::{Micros, ServerId};
 use baydrift_platform::{CallId, Message, MessageType, ParameterCode};
 
-use super::{write, Conn, ConnId, OwedRelease, Servers, PING_AFTER_IDLE, PING_TIMEOUT};
+use super::{write, Conn, ConnId, Servers, PING_AFTER_IDLE, PING_TIMEOUT};
 use crate::state::{Node, Output, CHECK_INTERVAL};
 
 /// Time within which a partly received message must be complete: messages are small,
@@ -63,13 +62,7 @@
             conn.finished.push(self.now, *call);
         }
         tracing::debug!("{server:x}: connection {} is silent, {} set-ups given up", id.0, unanswered.len());
-        for call in unanswered.keys() {
-            self.write_release(id, OwedRelease::new(*call), out);
-        }
-        self.servers.dial(self.now, server, true, out);
-        for attempt in unanswered.into_values() {
-            self.end_attempt(attempt, AttemptEnd::plain(Outcome::Reset), out);
-        }
+        self.reset_set_ups(server, unanswered, Some(id), out);
     }
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -105,6 +105,11 @@
 }
 
 impl Settings {
+    /// The longest deadline of a class.
+    pub fn longest_deadline(&self) -> Micros {
+        self.classes.iter().map(|class| class.deadline).max().unwrap_or(0)
+    }
+
     /// Validates the settings.
     ///
     /// # Errors
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -366,7 +366,6 @@
     /// Returns an error when a setting is out of its range.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
-        let longest_deadline = settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         Ok(Self {
             rng: Pcg64Mcg::seed_from_u64(seed),
             servers: BTreeMap::new(),
@@ -378,7 +377,7 @@
             peer_carried: BTreeMap::new(),
             first_tick_at: None,
             recent_worths: VecDeque::new(),
-            first_dialled: FirstDialled::new(longest_deadline, FIRST_DIALLED_MAX),
+            first_dialled: FirstDialled::new(settings.longest_deadline(), FIRST_DIALLED_MAX),
             last_tick_at: None,
             turn_at: 0,
             received_from: 0,
