An address that passes on is found once, and tests share their builders of set-ups

apply_list searched for servers whose address another one has, and takeovers searched again; the first now follows from the second. Behaviour and assertions are unchanged.

--- a/crates/node/src/state/servers/mod.rs
+++ b/crates/node/src/state/servers/mod.rs
@@ -303,17 +303,10 @@
                 (server.address, server.dial_at) = (Some(line.address), now);
             }
         }
-        // Guards against a new server at the address of a removed one: it knows none of the old server's
-        // calls, so a successful dial says nothing about them.
-        let taken: BTreeSet<_> = fleet.servers().map(|line| line.address).collect();
-        for (id, server) in self.by_id.iter_mut().filter(|(_, server)| server.listed.is_none()) {
-            if server.address.is_some_and(|address| taken.contains(&address)) {
-                server.address = None;
-                server.pending_releases.clear();
-                self.restarted.push((*id, Micros::MAX));
-            }
-        }
         let takeovers = self.takeovers(now, &former_addresses);
+        for takeover in &takeovers {
+            self.forget_address(takeover.from);
+        }
         (added, takeovers)
     }
 
--- a/crates/node/src/state/servers/takeover.rs
+++ b/crates/node/src/state/servers/takeover.rs
@@ -24,16 +24,16 @@
 /// A server's address has passed to another one.
 #[derive(Debug, Clone, Copy)]
 pub(in crate::state) struct Takeover {
-    from: ServerId,
+    pub(super) from: ServerId,
     to: ServerId,
     address: SocketAddr,
-    /// Connections that came up from then on are those of the new process.
-    since: Micros,
+    /// Connections that came up from then on are those of the new process; `None` if nothing shows that one is.
+    since: Option<Micros>,
 }
 
 impl Takeover {
     fn includes(&self, origin: ConnOrigin) -> bool {
-        origin.address == self.address && origin.up_at >= self.since
+        origin.address == self.address && self.since.is_some_and(|since| origin.up_at >= since)
     }
 }
 
@@ -62,11 +62,20 @@
         };
         let takeover = |(from, address): (&ServerId, &SocketAddr)| {
             let (to, new) = owner(*address).filter(|(to, _)| *to != from)?;
-            let since = self.by_id.get(from)?.address_taken_since(now, new.started_at)?;
+            let since = self.by_id.get(from)?.address_taken_since(now, new.started_at);
             Some(Takeover { from: *from, to: *to, address: *address, since })
         };
         former.iter().filter_map(takeover).collect()
     }
+
+    /// Forgets the address of a server that is off the list, since another one has it now. The new server knows none
+    /// of the old one's calls, so a successful dial says nothing about them.
+    pub(super) fn forget_address(&mut self, id: ServerId) {
+        let Some(server) = self.by_id.get_mut(&id).filter(|server| server.listed.is_none()) else { return };
+        server.address = None;
+        server.pending_releases.clear();
+        self.restarted.push((id, Micros::MAX));
+    }
 }
 
 impl Node {
--- a/crates/node/tests/batch.rs
+++ b/crates/node/tests/batch.rs
@@ -5,7 +5,7 @@
 use baydrift_call::LinkId;
 use baydrift_node::state::{sort_batch, ConnId, Input};
 use baydrift_platform::{Cause, Message, MessageType, ParameterCode};
-use common::{call, set_up, Harness};
+use common::{call, set_up, set_up_with, Harness};
 
 fn set_up_input(link: u64, id: u64) -> Input {
     Input::FromCaller(LinkId(link), set_up(id, "3000"))
@@ -16,12 +16,8 @@
 }
 
 fn announce_input(link: u64, id: u64) -> Input {
-    let mut message = set_up(id, "3000");
-    message.parameters.retain(|(code, _)| *code != ParameterCode::ATTRIBUTES);
-    Input::FromCaller(
-        LinkId(link),
-        message.with(ParameterCode::ATTRIBUTES, "dest:0;width:1; at : s-two;via:-1"),
-    )
+    let attributes = "dest:0;width:1; at : s-two;via:-1";
+    Input::FromCaller(LinkId(link), set_up_with(id, "3000", ParameterCode::ATTRIBUTES, attributes))
 }
 
 /// Describes each input by a short text, for comparing orders.
--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -3,9 +3,11 @@
 mod common;
 
 use baydrift_call::LinkId;
-use baydrift_node::state::Input;
+use baydrift_node::state::{ConnId, Input};
 use baydrift_platform::{Cause, Message, MessageType, ParameterCode};
-use common::{answer, call, config, server_one, server_two, set_up, Harness, MS, SECOND};
+use common::{
+    announcement, answer, call, config, server_one, server_two, set_up, set_up_with, Harness, MS, SECOND,
+};
 
 #[test]
 fn set_up_is_forwarded_and_answer_returned_unchanged() {
@@ -30,11 +32,7 @@
 
 #[test]
 fn invalid_set_ups_are_refused_and_not_forwarded() {
-    let with = |code: u8, value: &str| {
-        let mut message = set_up(9, "1500");
-        message.parameters.retain(|(own, _)| *own != code);
-        message.with(code, value.to_owned())
-    };
+    let with = |code: u8, value: &str| set_up_with(9, "1500", code, value);
     let without = |code: u8| {
         let mut message = set_up(9, "1500");
         message.parameters.retain(|(own, _)| *own != code);
@@ -75,15 +73,22 @@
     }
 }
 
+/// Lets another client on this link send a set-up with the id of the caller's open one; asserts that it is refused, and
+/// returns the connection of the open one.
+fn send_duplicate(harness: &mut Harness, link: u64, id: u64) -> ConnId {
+    harness.caller(link);
+    harness.caller_sends(1, set_up(id, "1500"));
+    let conn = harness.set_up_conn(id).expect("a set-up");
+    harness.caller_sends(link, set_up(id, "1500").with(ParameterCode::LOAD_REPORT, "x"));
+    assert_eq!(harness.sent_to_caller(id), [(link, MessageType::Release, Some(Cause::INVALID))]);
+    conn
+}
+
 /// Guards against two set-ups that could both claim one answer.
 #[test]
 fn duplicate_call_id_does_not_affect_the_first_call() {
     let mut harness = Harness::connected();
-    harness.caller(2);
-    harness.caller_sends(1, set_up(7, "1500"));
-    let conn = harness.set_up_conn(7).expect("a set-up");
-    harness.caller_sends(2, set_up(7, "1500").with(ParameterCode::LOAD_REPORT, "x"));
-    assert_eq!(harness.sent_to_caller(7), [(2, MessageType::Release, Some(Cause::INVALID))]);
+    let conn = send_duplicate(&mut harness, 2, 7);
     assert_eq!(harness.set_up_count(7), 1);
     harness.server_sends(conn, answer(7));
     assert_eq!(harness.sent_to_caller(7).last(), Some(&(1, MessageType::Answer, None)));
@@ -99,21 +104,14 @@
 #[test]
 fn release_by_another_client_does_not_cancel_a_set_up() {
     let mut harness = Harness::connected();
-    harness.caller(2);
-    harness.caller_sends(1, set_up(7, "1500"));
-    let conn = harness.set_up_conn(7).expect("a set-up");
-    harness.caller_sends(2, set_up(7, "1500").with(ParameterCode::LOAD_REPORT, "x"));
-    assert_eq!(harness.sent_to_caller(7), [(2, MessageType::Release, Some(Cause::INVALID))]);
+    let conn = send_duplicate(&mut harness, 2, 7);
     harness.caller_sends(2, Message::release(call(7), Cause::NORMAL));
     harness.handle(Input::CallerDown(LinkId(2)));
     assert!(harness.releases_sent(7).is_empty(), "the attempt goes on");
     harness.server_sends(conn, answer(7));
     assert_eq!(harness.sent_to_caller(7).last(), Some(&(1, MessageType::Answer, None)));
     // Nor when it comes once the call is established: it is about the set-up that was refused.
-    harness.caller(3);
-    harness.caller_sends(1, set_up(9, "1500"));
-    let conn = harness.set_up_conn(9).expect("a set-up");
-    harness.caller_sends(3, set_up(9, "1500").with(ParameterCode::LOAD_REPORT, "x"));
+    let conn = send_duplicate(&mut harness, 3, 9);
     harness.server_sends(conn, answer(9));
     harness.caller_sends(3, Message::release(call(9), Cause::NORMAL));
     assert!(harness.releases_sent(9).is_empty(), "the call goes on");
@@ -187,12 +185,7 @@
 #[test]
 fn announced_established_call_is_adopted() {
     let mut harness = Harness::connected();
-    let at = |id| set_up(id, "1500").with(ParameterCode::ATTRIBUTES, "x");
-    let at = |id| {
-        let mut message = at(id);
-        message.parameters.retain(|(code, _)| *code != ParameterCode::ATTRIBUTES);
-        message.with(ParameterCode::ATTRIBUTES, "dest:0;width:1;via:-1;at:s-two")
-    };
+    let at = |id| announcement(id, "s-two");
     harness.caller_sends(1, at(7));
     harness.caller_sends(1, at(8));
     harness.advance(100 * MS);
@@ -266,9 +259,7 @@
     let two =
         harness.all_dials.iter().find(|(_, at)| at.ip().to_string() == "10.1.0.2").map(|(conn, _)| *conn);
     harness.server_sends(two.expect("a connection"), Message::release(call(7), Cause::NORMAL));
-    let mut named = set_up(7, "1500");
-    named.parameters.retain(|(code, _)| *code != ParameterCode::ATTRIBUTES);
-    harness.caller_sends(1, named.with(ParameterCode::ATTRIBUTES, "dest:0;width:1;via:-1;at:s-two"));
+    harness.caller_sends(1, announcement(7, "s-two"));
     assert_eq!(harness.sent_to_caller(7), [(1, MessageType::Release, Some(Cause::NORMAL))]);
     assert_eq!(harness.node.resource_counts()[3], 0);
 }
@@ -278,11 +269,7 @@
 #[test]
 fn set_up_memory_is_bounded() {
     let mut harness = Harness::connected();
-    let long = |id| {
-        let mut message = set_up(id, "3000");
-        message.parameters.retain(|(code, _)| *code != ParameterCode::DESCRIPTION);
-        message.with(ParameterCode::DESCRIPTION, vec![b'x'; 15_000])
-    };
+    let long = |id| set_up_with(id, "3000", ParameterCode::DESCRIPTION, vec![b'x'; 15_000]);
     let refused = |harness: &Harness, id| {
         harness.sent_to_caller(id) == [(1, MessageType::Release, Some(Cause::NO_CIRCUIT))]
     };
@@ -305,13 +292,6 @@
     assert_eq!((harness.set_up_count(1_000), harness.sent_to_caller(1_000).len()), (1, 0));
 }
 
-/// A set-up for a call that is established at this server.
-fn announcement(id: u64, server: &str) -> Message {
-    let mut message = set_up(id, "3000");
-    message.parameters.retain(|(code, _)| *code != ParameterCode::ATTRIBUTES);
-    message.with(ParameterCode::ATTRIBUTES, format!("dest:0;width:1;via:-1;at:{server}"))
-}
-
 /// Guards against other callers' calls that are refused, and time spent on servers that do not exist, while a client
 /// announces calls at servers under ever new names, or unknown calls at a known one.
 #[test]
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -57,6 +57,18 @@
         .with(ParameterCode::DESCRIPTION, &b"v=0 what the caller offers"[..])
 }
 
+/// Builds a set-up with another value of one parameter.
+pub fn set_up_with(id: u64, wait_ms: &str, code: u8, value: impl AsRef<[u8]>) -> Message {
+    let mut message = set_up(id, wait_ms);
+    message.parameters.retain(|(own, _)| *own != code);
+    message.with(code, value.as_ref().to_vec())
+}
+
+/// Builds a set-up for a call that is established at a server.
+pub fn announcement(id: u64, server: &str) -> Message {
+    set_up_with(id, "3000", ParameterCode::ATTRIBUTES, format!("dest:0;width:1;via:-1;at:{server}"))
+}
+
 pub fn call(id: u64) -> CallId {
     CallId(id.to_be_bytes())
 }
--- a/crates/node/tests/termination.rs
+++ b/crates/node/tests/termination.rs
@@ -7,8 +7,8 @@
 use baydrift_platform::{Cause, Message, MessageType, ParameterCode};
 use baydrift_standin::{list_answer, Listed};
 use common::{
-    answer, call, config, config_of_large_fleet, config_with, server_one, server_two, set_up, Harness, MS,
-    SECOND,
+    answer, call, config, config_of_large_fleet, config_with, server_one, server_two, set_up, set_up_with,
+    Harness, MS, SECOND,
 };
 
 // --- attempts that wait for a connection ---
@@ -238,11 +238,7 @@
         (Harness::connected(), Harness::new(&config_with(&[server_one(), server_two()], &changes)));
     there.connect_all();
     there.caller(1);
-    let with = |id, code, value: &str| {
-        let mut message = set_up(id, "400");
-        message.parameters.retain(|(own, _)| *own != code);
-        message.with(code, value.to_owned())
-    };
+    let with = |id, code, value: &str| set_up_with(id, "400", code, value);
     let refused = |harness: &Harness, id| {
         harness.sent_to_caller(id) == [(1, MessageType::Release, Some(Cause::INVALID))]
     };
